--- a/Makefile
+++ b/Makefile
@@ -64,4 +64,4 @@
 
 # needed only after a change of the interface file
 thrift:
-	thrift -r --gen py:slots,package_prefix=teaselledge_wire.gen. -out packages/wire/src/teaselledge_wire/gen packages/wire/router.thrift
+	for file in router fleet; do thrift -r --gen py:slots,package_prefix=teaselledge_wire.gen. -out packages/wire/src/teaselledge_wire/gen packages/wire/$$file.thrift; done
--- /dev/null
+++ b/packages/fleet/src/teaselledge_fleet/connection/front.py
@@ -0,0 +1,220 @@
+"""The callers' server: reads requests, starts a task for each, writes answers."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPOutputError,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+    responses,
+)
+from tornado.iostream import StreamClosedError
+
+from teaselledge_fleet.log import get_log
+
+__all__ = ["CallerSink", "FrontServer", "Incoming"]
+
+_log = get_log("front")
+
+STALL_SECONDS = 5.0
+"""A caller that takes nothing for so long is cut off.
+
+It would hold a slot of an engine that others wait for. Callers give up a stream
+after a gap of 2 to 4 s, so none that still waits is cut.
+"""
+
+LINGER_SECONDS = 1.0
+"""Time for which the rest of a body is read after an early answer."""
+
+
+class Incoming:
+    """A request that was read in full.
+
+    Attributes
+    ----------
+    method, target : str
+        Of the request line.
+    headers : HTTPHeaders
+        All headers.
+    body : bytes
+        The whole body.
+    arrived : float
+        Loop time at which its headers were read.
+    """
+
+    def __init__(
+        self, line: RequestStartLine, headers: HTTPHeaders, arrived: float
+    ) -> None:
+        self.method = line.method
+        self.target = line.path
+        self.headers = headers
+        self.body = b""
+        self.arrived = arrived
+
+
+class CallerSink:
+    """The caller's side of an answer.
+
+    Attributes
+    ----------
+    started : bool
+        Whether the head has been written.
+    """
+
+    def __init__(self, connection: HTTP1Connection) -> None:
+        self._connection = connection
+        self.started = False
+        self.finished = False
+
+    async def start(
+        self, status: int, headers: HTTPHeaders, chunk: bytes | None = None
+    ) -> None:
+        """Write the head, and a first part of the body with it."""
+        self.started = True
+        line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
+        await self._wait(self._connection.write_headers(line, headers, chunk))
+
+    async def write(self, chunk: bytes) -> None:
+        """Write a part of the body; waits while the caller is slow."""
+        await self._wait(self._connection.write(chunk))
+
+    def finish(self) -> None:
+        """Mark the answer as whole."""
+        self.finished = True
+        try:
+            self._connection.finish()
+        except HTTPOutputError:
+            # shorter than its length says: the connection has been closed, and the
+            # caller sees that a part is missing
+            _log.warning("answer shorter than its announced length")
+
+    def abort(self) -> None:
+        """End the answer visibly broken, by closing the connection."""
+        self.finished = True
+        self._connection.close()
+
+    async def _wait(self, written: "asyncio.Future[None]") -> None:
+        try:
+            async with asyncio.timeout(STALL_SECONDS):
+                await written
+        except TimeoutError:
+            self.abort()
+            raise StreamClosedError from None
+
+
+Serve = Callable[[Incoming, CallerSink], Awaitable[None]]
+
+
+class _Reader(HTTPMessageDelegate):
+    """Reads one request and runs it."""
+
+    def __init__(self, server: "FrontServer", connection: HTTP1Connection) -> None:
+        self._server = server
+        self._connection = connection
+        self._incoming: Incoming | None = None
+        self._parts: list[bytes] = []
+        self._task: asyncio.Task[None] | None = None
+
+    def headers_received(self, start_line: Any, headers: HTTPHeaders) -> None:
+        now = asyncio.get_running_loop().time()
+        self._incoming = Incoming(start_line, headers, now)
+        self._server.note_reading(self)
+
+    def data_received(self, chunk: bytes) -> None:
+        self._parts.append(chunk)
+
+    def finish(self) -> None:
+        assert self._incoming is not None
+        self._incoming.body = b"".join(self._parts)
+        self._parts.clear()
+        self._connection.set_close_callback(self.on_connection_close)
+        self._task = asyncio.create_task(self._run(self._incoming))
+
+    def on_connection_close(self) -> None:
+        self._server.note_done(self)
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _run(self, incoming: Incoming) -> None:
+        sink = CallerSink(self._connection)
+        try:
+            await self._server.serve(incoming, sink)
+        except StreamClosedError:
+            # the caller left while its answer was written
+            return
+        except Exception:
+            _log.exception("request failed by a fault of the router")
+            sink.abort()
+        finally:
+            self._server.note_done(self)
+
+
+class FrontServer(HTTPServerConnectionDelegate):
+    """Serves callers on one listener.
+
+    Parameters
+    ----------
+    serve : callable
+        Runs one request; it is cancelled when the caller leaves.
+    header_bytes, body_bytes : int
+        Largest headers and body.
+    idle_seconds : float
+        Time after which a connection without a request is closed.
+    """
+
+    def __init__(
+        self, serve: Serve, header_bytes: int, body_bytes: int, idle_seconds: float
+    ) -> None:
+        self.serve = serve
+        self._running: set[_Reader] = set()
+        self._http = HTTPServer(
+            self,
+            max_header_size=header_bytes,
+            max_body_size=body_bytes,
+            idle_connection_timeout=idle_seconds,
+        )
+
+    @property
+    def running(self) -> int:
+        """Requests that are being read or answered."""
+        return len(self._running)
+
+    def listen(self, host: str, port: int) -> None:
+        """Listen on an address."""
+        self._http.listen(port, host, backlog=1024)
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        """Return the reader of the next request of a connection."""
+        assert isinstance(request_conn, HTTP1Connection)
+        request_conn.stream.set_nodelay(True)
+        return _Reader(self, request_conn)
+
+    def note_reading(self, reader: _Reader) -> None:
+        """Count a request whose headers were read."""
+        self._running.add(reader)
+
+    def note_done(self, reader: _Reader) -> None:
+        """Stop counting a request."""
+        self._running.discard(reader)
+
+    def end_kept_connections(self) -> None:
+        """Close each connection after the next answer on it."""
+        self._http.conn_params.no_keep_alive = True
+
+    def stop(self) -> None:
+        """Take no new connections."""
+        self._http.stop()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._http.close_all_connections()
--- /dev/null
+++ b/packages/fleet/src/teaselledge_fleet/faults.py
@@ -0,0 +1,92 @@
+"""The closed list of error kinds, and the answer that each one gets."""
+
+import json
+from dataclasses import dataclass
+from enum import Enum
+
+from tornado.httputil import HTTPHeaders
+
+__all__ = ["ANSWERS", "Answer", "Fault", "FaultKind", "body_of", "head_of"]
+
+
+class FaultKind(Enum):
+    """Every way in which the router ends a request itself."""
+
+    BAD_REQUEST = "bad-request"
+    UNKNOWN_KEY = "unknown-key"
+    NO_ROUTE = "no-route"
+    NOT_CONFIGURED = "not-configured"
+    LEAVING = "leaving"
+    NO_ENDPOINT = "no-endpoint"
+    OVER_CAPACITY = "over-capacity"
+    OVER_SHARE = "over-share"
+    NOT_IN_TIME = "not-in-time"
+    ENDPOINT_DECLINED = "endpoint-declined"
+    ENDPOINT_FAILED = "endpoint-failed"
+    ENDPOINT_TIMEOUT = "endpoint-timeout"
+
+
+@dataclass(frozen=True)
+class Answer:
+    """How an error kind is told to the caller.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status. 429 and 503 promise that the request has not run and never
+        will; 502 and 504 promise nothing.
+    title : str
+        Short summary.
+    """
+
+    status: int
+    title: str
+
+
+ANSWERS: dict[FaultKind, Answer] = {
+    FaultKind.BAD_REQUEST: Answer(400, "The request is malformed"),
+    FaultKind.UNKNOWN_KEY: Answer(401, "The key is missing or unknown"),
+    FaultKind.NO_ROUTE: Answer(404, "No route leads there"),
+    FaultKind.NOT_CONFIGURED: Answer(503, "The router has no configuration yet"),
+    FaultKind.LEAVING: Answer(503, "This router is leaving"),
+    FaultKind.NO_ENDPOINT: Answer(503, "No endpoint can be reached"),
+    FaultKind.OVER_CAPACITY: Answer(503, "No endpoint has room"),
+    FaultKind.OVER_SHARE: Answer(429, "The organisation is over its share"),
+    FaultKind.NOT_IN_TIME: Answer(503, "No endpoint was free in time"),
+    FaultKind.ENDPOINT_DECLINED: Answer(503, "The endpoints declined"),
+    FaultKind.ENDPOINT_FAILED: Answer(502, "The endpoint failed"),
+    FaultKind.ENDPOINT_TIMEOUT: Answer(504, "The endpoint took too long"),
+}
+
+
+@dataclass(frozen=True)
+class Fault:
+    """One occurrence of an error.
+
+    Attributes
+    ----------
+    kind : FaultKind
+        What went wrong.
+    retry_after : float or None
+        Seconds after which asking again may help.
+    """
+
+    kind: FaultKind
+    retry_after: float | None = None
+
+
+def body_of(fault: Fault) -> bytes:
+    """Return the body of a fault's answer, a problem object (RFC 9457)."""
+    answer = ANSWERS[fault.kind]
+    fields = {"title": answer.title, "status": answer.status, "kind": fault.kind.value}
+    return json.dumps(fields).encode()
+
+
+def head_of(fault: Fault, headers: HTTPHeaders, length: int) -> HTTPHeaders:
+    """Return the headers of a fault's answer."""
+    result = headers.copy()
+    result["Content-Type"] = "application/problem+json"
+    result["Content-Length"] = str(length)
+    if fault.retry_after is not None:
+        result["Retry-After"] = f"{max(0.0, fault.retry_after):.2f}"
+    return result
--- /dev/null
+++ b/packages/fleet/src/teaselledge_fleet/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as the process."""
--- /dev/null
+++ b/packages/fleet/src/teaselledge_fleet/process/belief.py
@@ -0,0 +1,167 @@
+"""What this router believes of the store's content, and how old that is."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from teaselledge_fleet.log import get_log
+from teaselledge_fleet.process.endpoints import EndpointView, Entry
+from teaselledge_fleet.version.routes import Routing
+
+__all__ = ["Belief"]
+
+_log = get_log("belief")
+
+SETTLE_SECONDS = 2.3
+"""Time after the store's return for which missing entries are waited for.
+
+Entries lapse while the store is away and are back about 2 s after its return.
+Without this wait every engine would look gone just then.
+"""
+
+GONE_KEPT = 200
+"""Entries of gone endpoints that are remembered, so that old news can't revive them."""
+
+Decode = Callable[[bytes], Routing | None]
+
+
+class Belief:
+    """The configuration and the endpoints, as far as this router knows.
+
+    Attributes
+    ----------
+    view : EndpointView
+        The endpoints.
+    routing : Routing or None
+        The configuration in force; its version never goes back.
+    configuration : bytes
+        The same as the operator wrote it, for other routers.
+    follower : str
+        VM that read the store for what is believed.
+    on_change : list of callable
+        Called after a change.
+    """
+
+    def __init__(self, vm: str, decode: Decode) -> None:
+        self._vm = vm
+        self._decode = decode
+        self.view = EndpointView()
+        self.routing: Routing | None = None
+        self.configuration = b""
+        self.follower = ""
+        self.on_change: list[Callable[[], None]] = []
+        self._as_of: float | None = None
+        self._trouble_at: float | None = None
+        self._returned_at: float | None = None
+        self._fresh_changes: list[Entry] = []
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force, 0 without one."""
+        return self.routing.version if self.routing is not None else 0
+
+    @property
+    def age(self) -> float | None:
+        """Seconds since the endpoints were known to be as they are believed."""
+        return None if self._as_of is None else self._now() - self._as_of
+
+    @property
+    def trouble_age(self) -> float | None:
+        """Seconds since any router knew the store to fail."""
+        return None if self._trouble_at is None else self._now() - self._trouble_at
+
+    def take_configuration(self, data: bytes, source: str) -> bool:
+        """Take a configuration if it is newer; False if it can't be read."""
+        routing = self._decode(data)
+        if routing is None:
+            return False
+        if routing.version <= self.version:
+            return True
+        _log.info(
+            "configuration in force",
+            version=routing.version,
+            before=self.version,
+            source=source,
+            routes=len(routing.routes),
+        )
+        self.routing = routing
+        self.configuration = data
+        self._tell()
+        return True
+
+    def take_rows(self, revision: int, entries: Iterable[Entry], as_of: float) -> None:
+        """Take a reading of all entries, made by this router."""
+        self._note_return(as_of)
+        present = {entry.id: entry for entry in entries}
+        news = list(present.values())
+        for entry in self.view:
+            if entry.endpoint is not None and entry.id not in present:
+                if self._settling():
+                    continue
+                news.append(Entry(entry.id, max(revision, entry.revision + 1), None))
+        self._merge(news, "store")
+        if not self._settling():
+            self._as_of = as_of
+        self.follower = self._vm
+
+    def take_news(self, entries: Iterable[Entry], source: str) -> None:
+        """Take entries that another router tells of."""
+        self._merge(entries, source)
+
+    def confirm(self, digest: int, age: float, follower: str) -> None:
+        """Take another router's word on how old an equal view is."""
+        if digest != self.view.digest:
+            return
+        as_of = self._now() - age
+        if self._as_of is None or as_of > self._as_of:
+            self._as_of = as_of
+            # of two that read at the same time, the first by name goes on
+            if self.follower != self._vm or follower < self._vm:
+                self.follower = follower
+
+    def note_trouble(self, age: float = 0.0) -> None:
+        """Note that the store failed so many seconds ago."""
+        at = self._now() - age
+        if self._trouble_at is None or at > self._trouble_at:
+            self._trouble_at = at
+            self._returned_at = None
+
+    def take_changes(self) -> list[Entry]:
+        """Return the entries that changed since the last call."""
+        changes, self._fresh_changes = self._fresh_changes, []
+        return changes
+
+    def _merge(self, entries: Iterable[Entry], source: str) -> None:
+        changed = self.view.merge(entries)
+        if not changed:
+            return
+        for entry in changed:
+            endpoint = entry.endpoint
+            _log.info(
+                "endpoint changed",
+                endpoint=entry.id,
+                revision=entry.revision,
+                source=source,
+                service=endpoint.service if endpoint else None,
+                address=endpoint.address if endpoint else None,
+                leaving=endpoint.leaving if endpoint else None,
+                gone=endpoint is None,
+            )
+        self._fresh_changes += changed
+        self.view.prune(GONE_KEPT)
+        self._tell()
+
+    def _note_return(self, now: float) -> None:
+        if self._trouble_at is not None and self._returned_at is None:
+            self._returned_at = now
+
+    def _settling(self) -> bool:
+        """Whether the store has just come back."""
+        returned = self._returned_at
+        return returned is not None and self._now() - returned < SETTLE_SECONDS
+
+    def _tell(self) -> None:
+        for listener in self.on_change:
+            listener()
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/fleet/src/teaselledge_fleet/process/endpoints.py
@@ -0,0 +1,131 @@
+"""What this router believes of the endpoints: their entries, newest first."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+import xxhash
+
+__all__ = ["Endpoint", "EndpointView", "Entry"]
+
+
+@dataclass(frozen=True)
+class Endpoint:
+    """An endpoint as it announces itself.
+
+    Attributes
+    ----------
+    id : str
+        Names this endpoint and no other.
+    service : str
+        Service that it runs.
+    address : str
+        ``host:port``.
+    zone : str
+        Availability zone.
+    slots : int
+        Requests that it runs at once.
+    leaving : bool
+        Whether it takes no new work.
+    cold_seconds : float
+        How much longer it is slow after its start.
+    born : int
+        Unix time of its start in milliseconds; 0 where it is not told.
+    """
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    leaving: bool = False
+    cold_seconds: float = field(default=0.0, compare=False)
+    born: int = 0
+
+
+@dataclass(frozen=True)
+class Entry:
+    """What the store holds of an endpoint at some revision.
+
+    Attributes
+    ----------
+    id : str
+        Of the endpoint.
+    revision : int
+        The store's revision of this state.
+    endpoint : Endpoint or None
+        None where the entry is gone.
+    """
+
+    id: str
+    revision: int
+    endpoint: Endpoint | None
+
+
+class EndpointView:
+    """Entries of all endpoints, merged by revision.
+
+    Two views that have seen the same entries are equal, in whatever order the news
+    came, because the store's revisions order all changes.
+    """
+
+    def __init__(self) -> None:
+        self._entries: dict[str, Entry] = {}
+        self._by_service: dict[str, list[Endpoint]] = {}
+        self._digest = 0
+
+    def __iter__(self) -> Iterator[Entry]:
+        return iter(self._entries.values())
+
+    @property
+    def digest(self) -> int:
+        """Hash of the entries; equal views have equal digests."""
+        return self._digest
+
+    @property
+    def endpoints(self) -> list[Endpoint]:
+        """All endpoints, leaving ones included."""
+        return [e.endpoint for e in self._entries.values() if e.endpoint is not None]
+
+    def get(self, name: str) -> Endpoint | None:
+        """Return an endpoint by its id."""
+        entry = self._entries.get(name)
+        return entry.endpoint if entry is not None else None
+
+    def of_service(self, service: str) -> list[Endpoint]:
+        """Return the endpoints of a service that take new work."""
+        return self._by_service.get(service, [])
+
+    def merge(self, entries: Iterable[Entry]) -> list[Entry]:
+        """Take entries that are newer, and return those that change something."""
+        changed = []
+        for entry in entries:
+            known = self._entries.get(entry.id)
+            if known is not None and known.revision >= entry.revision:
+                continue
+            self._entries[entry.id] = entry
+            if known is None or known.endpoint != entry.endpoint:
+                changed.append(entry)
+        if changed:
+            self._index()
+        return changed
+
+    def prune(self, keep: int) -> None:
+        """Forget the oldest of the entries that are gone, but for so many."""
+        gone = [e for e in self._entries.values() if e.endpoint is None]
+        gone.sort(key=lambda entry: entry.revision)
+        for entry in gone[: max(0, len(gone) - keep)]:
+            del self._entries[entry.id]
+
+    def _index(self) -> None:
+        by_service: dict[str, list[Endpoint]] = {}
+        digest = 0
+        for entry in self._entries.values():
+            endpoint = entry.endpoint
+            if endpoint is None:
+                continue
+            text = f"{endpoint.id}\0{endpoint.address}\0{endpoint.leaving}"
+            digest ^= xxhash.xxh3_64_intdigest(text.encode())
+            if not endpoint.leaving:
+                by_service.setdefault(endpoint.service, []).append(endpoint)
+        self._by_service = by_service
+        self._digest = digest >> 1
--- /dev/null
+++ b/packages/fleet/src/teaselledge_fleet/process/following.py
@@ -0,0 +1,125 @@
+"""Read the store, unless another router has just done so."""
+
+import asyncio
+import random
+
+from teaselledge_fleet.log import get_log
+from teaselledge_fleet.process.belief import Belief
+from teaselledge_fleet.process.store import StateStore, StoreFault
+
+__all__ = ["StoreFollower"]
+
+_log = get_log("store")
+
+PERIOD_SECONDS = 0.7
+"""Time between two readings by the router that follows the store.
+
+A leaving endpoint must get no new work 2.5 s after the store knew it. That leaves
+time for a reading, for another router to notice that the follower is gone, for
+its own reading, and for the way of the news.
+"""
+
+STALE_SECONDS = 1.15
+"""Age of the belief at which any router reads the store itself.
+
+A reading each 0.7 s that takes 50 ms, told at once, is at most 0.8 s old; one lost
+datagram adds 0.25 s.
+"""
+
+SPREAD_SECONDS = 0.5
+"""Routers read at different moments after that, so that the first one's news keeps
+the others from reading too."""
+
+FIRST_PAUSE = 0.3
+LONGEST_PAUSE = 1.5
+"""Pauses after failed calls; they double from the first to the longest. The fleet
+must notice within 2 s that the store is back."""
+
+TICK_SECONDS = 0.05
+
+
+class StoreFollower:
+    """Reads the store when the fleet's knowledge of it grows old.
+
+    Whoever reads first goes on reading, and what it tells keeps all others from
+    doing the same. When it stops, or nobody hears it, the next router's turn comes
+    by itself; nobody is elected.
+    """
+
+    def __init__(self, vm: str, store: StateStore, belief: Belief) -> None:
+        self._vm = vm
+        self._store = store
+        self._belief = belief
+        self._revision = 0
+        self._pause = FIRST_PAUSE
+        self._reachable: bool | None = None
+        self.calls = 0
+
+    @property
+    def reachable(self) -> bool:
+        """Whether its last call was answered."""
+        return self._reachable is not False
+
+    async def run(self) -> None:
+        """Follow the store for ever."""
+        await asyncio.sleep(random.uniform(0, SPREAD_SECONDS))
+        while True:
+            await self._until_due()
+            if await self._read():
+                self._pause = FIRST_PAUSE
+                continue
+            self._belief.note_trouble()
+            await asyncio.sleep(self._pause * random.uniform(0.7, 1.3))
+            self._pause = min(LONGEST_PAUSE, self._pause * 2)
+
+    async def _until_due(self) -> None:
+        patience = STALE_SECONDS + random.uniform(0, SPREAD_SECONDS)
+        while self._belief.follower != self._vm:
+            age = self._belief.age
+            if age is None or age > patience or not self._belief.version:
+                return
+            await asyncio.sleep(TICK_SECONDS)
+
+    async def _read(self) -> bool:
+        return await self._read_endpoints() and await self._read_configuration()
+
+    async def _read_endpoints(self) -> bool:
+        started = asyncio.get_running_loop().time()
+        self.calls += 1
+        read = await self._store.endpoints()
+        if read.is_error():
+            self._note_failure(read.error)
+            return False
+        self._note_success()
+        rows = read.ok
+        self._belief.take_rows(rows.revision, rows.entries, started)
+        return True
+
+    async def _read_configuration(self) -> bool:
+        self.calls += 1
+        started = asyncio.get_running_loop().time()
+        read = await self._store.configuration(self._revision, PERIOD_SECONDS)
+        if read.is_error():
+            self._note_failure(read.error)
+            return False
+        found = read.ok
+        if found.data is not None:
+            if not self._belief.take_configuration(found.data, "store"):
+                # the next change, or the next start, reads it again
+                _log.error("configuration can't be read", revision=found.revision)
+        self._revision = max(self._revision, found.revision)
+        # an answer that came at once must not lead to a rush of calls
+        left = started + PERIOD_SECONDS / 2 - asyncio.get_running_loop().time()
+        if found.data is None and left > 0:
+            await asyncio.sleep(left)
+        return True
+
+    def _note_failure(self, fault: StoreFault) -> None:
+        if self._reachable is not False:
+            _log.warning("store lost", fault=fault.value, age=self._belief.age)
+        self._reachable = False
+
+    def _note_success(self) -> None:
+        if self._reachable is False:
+            _log.info("store regained", age=self._belief.age)
+        self._reachable = True
--- /dev/null
+++ b/packages/fleet/src/teaselledge_fleet/process/members.py
@@ -0,0 +1,154 @@
+"""Which routers there are, and which of them answer."""
+
+import asyncio
+from dataclasses import dataclass, replace
+from enum import IntEnum
+
+from teaselledge_wire.gen.fleet.ttypes import RouterInfo
+
+__all__ = ["Member", "MemberState", "Members"]
+
+SILENT_SECONDS = 1.6
+"""Silence after which callers are not sent to a router.
+
+Pulses come every 0.25 s. Six lost in a row at 3 % loss are one in a thousand
+million; a machine that stands still is left out after so long.
+"""
+
+FORGET_SECONDS = 30.0
+"""Silence after which a router is forgotten, unless it is heard of again."""
+
+
+class MemberState(IntEnum):
+    """What a router says of itself."""
+
+    STARTING = 0
+    READY = 1
+    LEAVING = 2
+
+
+@dataclass(frozen=True)
+class Member:
+    """A router.
+
+    Attributes
+    ----------
+    vm : str
+        Its VM.
+    incarnation : int
+        Identifies one life of its process.
+    zone, region : str
+        Where it is.
+    callers, peers : str
+        Addresses, ``host:port``.
+    state : MemberState
+        What it says of itself.
+    """
+
+    vm: str
+    incarnation: int
+    zone: str
+    region: str
+    callers: str
+    peers: str
+    state: MemberState = MemberState.STARTING
+
+    @classmethod
+    def from_wire(cls, info: RouterInfo) -> "Member":
+        """Return the member that a message tells of."""
+        return cls(
+            info.vm,
+            info.incarnation or 0,
+            info.zone or "",
+            info.region or "",
+            info.callers or "",
+            info.peers or "",
+            MemberState(info.state or 0),
+        )
+
+    def to_wire(self) -> RouterInfo:
+        """Return the message that tells of it."""
+        return RouterInfo(
+            self.vm,
+            self.incarnation,
+            self.zone,
+            self.region,
+            self.callers,
+            self.peers,
+            int(self.state),
+        )
+
+
+@dataclass
+class _Known:
+    member: Member
+    heard: float
+    """Loop time of its last pulse, or of the first news of it."""
+    direct: bool
+
+
+class Members:
+    """The routers that this one knows.
+
+    A pulse from a router itself replaces what was known of it. News from others
+    only adds routers that are unknown or silent, so that an old rumour can't undo
+    what a router says of itself.
+    """
+
+    def __init__(self, own: Member) -> None:
+        self._own = own
+        self._known: dict[str, _Known] = {}
+
+    @property
+    def own(self) -> Member:
+        """This router."""
+        return self._own
+
+    @property
+    def others(self) -> list[Member]:
+        """All other routers that are not forgotten, silent ones included."""
+        now = self._now()
+        for vm, known in list(self._known.items()):
+            if now - known.heard > FORGET_SECONDS:
+                del self._known[vm]
+        return [known.member for known in self._known.values()]
+
+    @property
+    def answering(self) -> list[Member]:
+        """The other routers that were heard lately."""
+        now = self._now()
+        return [
+            known.member
+            for known in self._known.values()
+            if known.direct and now - known.heard <= SILENT_SECONDS
+        ]
+
+    @property
+    def ready(self) -> list[Member]:
+        """Routers that take requests, this one included where it does."""
+        everyone = [*self.answering, self._own]
+        return [m for m in everyone if m.state is MemberState.READY]
+
+    def set_state(self, state: MemberState) -> None:
+        """Change what this router says of itself."""
+        self._own = replace(self._own, state=state)
+
+    def hear(self, member: Member) -> bool:
+        """Take what a router says of itself; True where it is new or has changed."""
+        if member.vm == self._own.vm:
+            return False
+        known = self._known.get(member.vm)
+        self._known[member.vm] = _Known(member, self._now(), True)
+        return known is None or known.member != member
+
+    def rumour(self, member: Member) -> bool:
+        """Take what another router says of one; True where it was unknown."""
+        if member.vm == self._own.vm or member.vm in self._known:
+            return False
+        if member.state is MemberState.LEAVING:
+            return False
+        self._known[member.vm] = _Known(member, self._now(), False)
+        return True
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/fleet/src/teaselledge_fleet/process/registration.py
@@ -0,0 +1,75 @@
+"""The router's row in the store, by which others find it when no seed answers."""
+
+import asyncio
+import random
+
+from teaselledge_wire.gen.fleet.ttypes import RouterInfo
+from thrift.TSerialization import deserialize, serialize
+
+from teaselledge_fleet.log import get_log
+from teaselledge_fleet.process.members import Member, Members
+from teaselledge_fleet.process.store import StateStore
+
+__all__ = ["Registration"]
+
+_log = get_log("members")
+
+FIRST_PAUSE = 0.5
+LONGEST_PAUSE = 5.0
+LONELY_SECONDS = 2.0
+"""Time between two readings of the rows while no other router answers."""
+
+WITHDRAW_SECONDS = 0.5
+
+
+class Registration:
+    """Writes the row at the start and removes it at the end.
+
+    The rows only help routers to find each other; who is alive they tell one
+    another. A row that a killed router left behind costs a few datagrams.
+    """
+
+    def __init__(self, store: StateStore, members: Members) -> None:
+        self._store = store
+        self._members = members
+        self._written = False
+
+    async def run(self) -> None:
+        """Write the row, and read all rows while this router is alone."""
+        pause = FIRST_PAUSE
+        while not await self._write():
+            await asyncio.sleep(pause * random.uniform(0.7, 1.3))
+            pause = min(LONGEST_PAUSE, 2 * pause)
+        while True:
+            if not self._members.answering:
+                await self._read()
+            await asyncio.sleep(LONELY_SECONDS)
+
+    async def withdraw(self) -> None:
+        """Remove the row."""
+        if not self._written:
+            return
+        try:
+            async with asyncio.timeout(WITHDRAW_SECONDS):
+                await self._store.drop_router(self._members.own.vm)
+        except TimeoutError:
+            _log.info("row not removed", vm=self._members.own.vm)
+
+    async def _write(self) -> bool:
+        own = self._members.own
+        result = await self._store.put_router(own.vm, serialize(own.to_wire()))
+        self._written = result.is_ok()
+        return self._written
+
+    async def _read(self) -> None:
+        rows = await self._store.routers()
+        if rows.is_error():
+            return
+        for vm, data in rows.ok.items():
+            try:
+                member = Member.from_wire(deserialize(RouterInfo(), data))
+            except Exception as error:
+                # thrift raises errors of many kinds on foreign bytes
+                _log.warning("row of a router malformed", vm=vm, error=repr(error))
+                continue
+            self._members.rumour(member)
--- /dev/null
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -0,0 +1,195 @@
+"""One router of the fleet: its parts, wired together."""
+
+import asyncio
+import secrets
+from typing import Protocol
+
+from teaselledge_fleet.connection.codec import encode_state
+from teaselledge_fleet.connection.front import FrontServer
+from teaselledge_fleet.connection.pages import Page, PageServer
+from teaselledge_fleet.connection.peers import STATE_PATH
+from teaselledge_fleet.connection.pool import ConnectionPool
+from teaselledge_fleet.log import get_log
+from teaselledge_fleet.process.addresses import addresses_for
+from teaselledge_fleet.process.belief import Belief, Decode
+from teaselledge_fleet.process.budget import RepeatBudget, RepeatLimits
+from teaselledge_fleet.process.following import StoreFollower
+from teaselledge_fleet.process.leaving import Leaving
+from teaselledge_fleet.process.members import Member, Members, MemberState
+from teaselledge_fleet.process.placing import LocalPlacer
+from teaselledge_fleet.process.registration import Registration
+from teaselledge_fleet.process.settings import FleetSettings
+from teaselledge_fleet.process.spreading import Spreading
+from teaselledge_fleet.process.store import StateStore
+from teaselledge_fleet.request.call import Dialect
+from teaselledge_fleet.request.serving import Server
+from teaselledge_fleet.version.routes import CallerLimits
+
+__all__ = ["FleetRouter", "Pages"]
+
+_log = get_log("router")
+
+ADDRESS_SECONDS = 1.0
+"""Time for which callers keep the addresses.
+
+A router that stops is named for this long, and three times so by some callers.
+Asking once a second costs a caller 200 bytes.
+"""
+
+INCARNATION_BITS = 62
+METRICS_PATH = "/metrics"
+
+
+class Pages(Protocol):
+    """Formats of what callers and the platform ask a router."""
+
+    ready_path: str
+    addresses_path: str
+
+    def place_asked(self, arguments: dict[str, str]) -> tuple[str, str]:
+        """Return the zone and region of a caller that asks for addresses."""
+
+    def addresses(self, addresses: list[str], seconds: float) -> Page:
+        """Return the page that names routers."""
+
+
+class FleetRouter:
+    """A router without its command line.
+
+    Parameters
+    ----------
+    settings : FleetSettings
+        Where it is and what it may use.
+    store : StateStore
+        What lasts.
+    dialect : Dialect
+        Names of headers.
+    pages : Pages
+        Formats of the small pages.
+    decode : callable
+        Reads a configuration; None where it can't.
+    """
+
+    def __init__(
+        self,
+        settings: FleetSettings,
+        store: StateStore,
+        dialect: Dialect,
+        pages: Pages,
+        decode: Decode,
+    ) -> None:
+        self._settings = settings
+        self._pages = pages
+        place = settings.place
+        own = Member(
+            place.vm,
+            secrets.randbits(INCARNATION_BITS),
+            place.zone,
+            place.region,
+            settings.listeners.callers,
+            settings.listeners.peers,
+        )
+        self._members = Members(own)
+        self._belief = Belief(place.vm, decode)
+        self._pool = ConnectionPool()
+        self._budget = RepeatBudget(_limits(settings))
+        self._placer = LocalPlacer(self._belief.view)
+        self._server = Server(dialect, self._pool, self._placer, self._budget)
+        limits = CallerLimits()
+        self._front = FrontServer(
+            self._server.serve,
+            limits.header_bytes * 2,
+            limits.body_bytes,
+            limits.idle_seconds,
+        )
+        self._follower = StoreFollower(place.vm, store, self._belief)
+        self._registration = Registration(store, self._members)
+        self._spreading = Spreading(
+            self._members, self._belief, settings.seeds, self._placer
+        )
+        self._spreading.on_members = self._note_members
+        self._leaving = Leaving(settings.grace_seconds, self._front, self._server)
+        self._page_servers: list[PageServer] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        self._belief.on_change.append(self._take_belief)
+
+    async def start(self) -> None:
+        """Open the listeners and begin."""
+        listeners = self._settings.listeners
+        self._front.listen(*_split(listeners.callers))
+        self._listen(listeners.ready, self._answer_ready)
+        if listeners.addresses:
+            self._listen(listeners.addresses, self._answer_addresses)
+        self._listen(listeners.peers, self._answer_peers)
+        await self._spreading.listen(*_split(listeners.peers))
+        self._tasks = [
+            asyncio.create_task(self._spreading.run()),
+            asyncio.create_task(self._follower.run()),
+            asyncio.create_task(self._registration.run()),
+        ]
+        _log.info("router started", vm=self._settings.place.vm)
+
+    def stop(self) -> None:
+        """Begin to leave."""
+        _log.info("router stops", running=self._front.running)
+        self._members.set_state(MemberState.LEAVING)
+        self._spreading.pulse()
+        self._leaving.begin()
+
+    async def wait_left(self) -> None:
+        """Wait until nothing is left to be done."""
+        await self._leaving.wait()
+        await self._registration.withdraw()
+        for task in self._tasks:
+            task.cancel()
+        self._front.stop()
+        await self._front.close()
+        self._pool.close()
+        self._spreading.close()
+        _log.info("router stopped", running=self._front.running)
+
+    def _listen(self, address: str, answer: "object") -> None:
+        server = PageServer(answer)  # type: ignore[arg-type]
+        server.listen(*_split(address))
+        self._page_servers.append(server)
+
+    def _take_belief(self) -> None:
+        self._server.routing = self._belief.routing
+        if self._members.own.state is MemberState.STARTING and self._belief.version:
+            _log.info("router ready", version=self._belief.version)
+            self._members.set_state(MemberState.READY)
+
+    def _note_members(self) -> None:
+        self._budget.note_routers(len(self._members.others) + 1)
+
+    def _answer_ready(self, path: str, arguments: dict[str, str]) -> Page:
+        ready = self._members.own.state is MemberState.READY
+        return Page(200 if ready else 503)
+
+    def _answer_addresses(self, path: str, arguments: dict[str, str]) -> Page:
+        if path != self._pages.addresses_path:
+            return Page(404)
+        zone, region = self._pages.place_asked(arguments)
+        found = addresses_for(
+            self._members.ready, self._settings.zones, zone, region
+        )
+        if not found:
+            return Page(503)
+        return self._pages.addresses(found, ADDRESS_SECONDS)
+
+    def _answer_peers(self, path: str, arguments: dict[str, str]) -> Page:
+        if path == STATE_PATH:
+            body = encode_state(self._spreading.state())
+            return Page(200, body, "application/octet-stream")
+        return Page(404)
+
+
+def _limits(settings: FleetSettings) -> RepeatLimits:
+    return RepeatLimits(
+        settings.repeat_ratio, settings.repeat_extra, settings.repeat_window
+    )
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/packages/fleet/src/teaselledge_fleet/process/store.py
@@ -0,0 +1,90 @@
+"""What the router needs of the platform's store."""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from expression import Result
+
+from teaselledge_fleet.process.endpoints import Entry
+
+__all__ = [
+    "EndpointRows",
+    "StateStore",
+    "StoreFault",
+    "StoredConfiguration",
+]
+
+
+class StoreFault(Enum):
+    """How a call to the store can fail."""
+
+    REFUSED = "refused"
+    """The store turned the call away; nothing was done."""
+
+    UNREACHABLE = "unreachable"
+    """No answer came."""
+
+    MALFORMED = "malformed"
+    """The answer can't be read."""
+
+
+@dataclass(frozen=True)
+class EndpointRows:
+    """The entries of all endpoints at one moment.
+
+    Attributes
+    ----------
+    revision : int
+        The store's newest revision at that moment.
+    entries : tuple of Entry
+        One for each row; None as endpoint where the row can't be used.
+    """
+
+    revision: int
+    entries: tuple[Entry, ...]
+
+
+@dataclass(frozen=True)
+class StoredConfiguration:
+    """The operator's configuration as it was written.
+
+    Attributes
+    ----------
+    revision : int
+        The store's revision up to which nothing newer exists.
+    data : bytes or None
+        The content; None where it did not change since the revision asked for.
+    """
+
+    revision: int
+    data: bytes | None
+
+
+class StateStore(Protocol):
+    """Reads and writes what lasts beyond the routers."""
+
+    async def endpoints(self) -> Result[EndpointRows, StoreFault]:
+        """Read the entries of all endpoints."""
+
+    async def configuration(
+        self, after: int, wait: float
+    ) -> Result[StoredConfiguration, StoreFault]:
+        """Read the configuration if it changed after a revision.
+
+        Parameters
+        ----------
+        after : int
+            Revision of an earlier answer; 0 reads in any case.
+        wait : float
+            Seconds to wait for a change.
+        """
+
+    async def routers(self) -> Result[dict[str, bytes], StoreFault]:
+        """Read what routers wrote of themselves, by VM."""
+
+    async def put_router(self, vm: str, data: bytes) -> Result[None, StoreFault]:
+        """Write what this router tells of itself."""
+
+    async def drop_router(self, vm: str) -> Result[None, StoreFault]:
+        """Remove a router's row."""
--- /dev/null
+++ b/packages/fleet/src/teaselledge_fleet/request/call.py
@@ -0,0 +1,169 @@
+"""One request as the router understands it, whatever its wire names."""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from tornado.httputil import HTTPHeaders
+
+__all__ = [
+    "Call",
+    "Dialect",
+    "EndpointHead",
+    "Onward",
+    "Prompt",
+    "PromptPart",
+    "Ran",
+]
+
+
+class Ran(Enum):
+    """Whether an endpoint may have carried out the request."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True)
+class PromptPart:
+    """A part of a prompt, which other prompts may share.
+
+    Attributes
+    ----------
+    id : str
+        Names its content.
+    tokens : int
+        Its length.
+    """
+
+    id: str
+    tokens: int
+
+
+@dataclass(frozen=True)
+class Prompt:
+    """What a request asks of a model engine.
+
+    Attributes
+    ----------
+    tokens : int
+        Tokens to be read.
+    max_output : int
+        Most tokens to be generated.
+    parts : tuple of PromptPart
+        The prompt's parts in order; the last is the request's own.
+    output_hint : int or None
+        The caller's estimate of the tokens generated; right at the median.
+    """
+
+    tokens: int
+    max_output: int
+    parts: tuple[PromptPart, ...] = ()
+    output_hint: int | None = None
+
+
+@dataclass(frozen=True)
+class Call:
+    """A caller's request, decoded.
+
+    Attributes
+    ----------
+    id : str
+        The caller's own id of this attempt.
+    method, target, host : str
+        Of the request line and the host header; the target has the query.
+    headers : HTTPHeaders
+        Headers that go on to the endpoint unchanged.
+    key : str or None
+        Bearer key.
+    patience : float or None
+        Seconds that the caller waits.
+    prompt : Prompt or None
+        Set for requests to model engines.
+    resume_after : str or None
+        Id of the event after which the caller continues a stream.
+    """
+
+    id: str
+    method: str
+    target: str
+    host: str
+    headers: HTTPHeaders
+    key: str | None = None
+    patience: float | None = None
+    prompt: Prompt | None = None
+    resume_after: str | None = None
+
+    @property
+    def path(self) -> str:
+        """The target without its query."""
+        return self.target.split("?", 1)[0]
+
+
+@dataclass(frozen=True)
+class Onward:
+    """What the router adds to a request on its way to an endpoint.
+
+    Attributes
+    ----------
+    endpoint : str
+        Id of the endpoint that is meant; any other one must decline.
+    organisation : str or None
+        The caller's organisation.
+    seconds : float or None
+        Time left for the answer.
+    resume_after : str or None
+        Id of the last event that reached the caller.
+    """
+
+    endpoint: str
+    organisation: str | None
+    seconds: float | None
+    resume_after: str | None = None
+
+
+@dataclass(frozen=True)
+class EndpointHead:
+    """The head of an endpoint's answer, decoded.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    headers : HTTPHeaders
+        Headers that go on to the caller.
+    own : bool
+        Whether it answers this request, not another one.
+    declined : bool
+        The endpoint says that it has not run the request and never will.
+    elsewhere : bool
+        Another endpoint has taken over the address.
+    sound : bool
+        False for an answer that can't be the endpoint's own.
+    """
+
+    status: int
+    headers: HTTPHeaders
+    own: bool
+    declined: bool
+    elsewhere: bool
+    sound: bool
+
+
+class Dialect(Protocol):
+    """Translates between wire names and the types of this module."""
+
+    def read_call(self, method: str, target: str, headers: HTTPHeaders) -> Call:
+        """Decode a caller's request."""
+
+    def onward_headers(self, call: Call, onward: Onward) -> list[tuple[str, str]]:
+        """Return all headers for an endpoint but those of the body's length."""
+
+    def read_head(
+        self, call: Call, status: int, headers: list[tuple[str, str]]
+    ) -> EndpointHead:
+        """Decode the head of an endpoint's answer."""
+
+    def refusal_headers(self, call: Call) -> HTTPHeaders:
+        """Return the headers of an answer that the router makes itself."""
--- /dev/null
+++ b/packages/fleet/src/teaselledge_fleet/request/serving.py
@@ -0,0 +1,424 @@
+"""Run one request: find its route, place it, send it, pass the answer on."""
+
+import asyncio
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from typing import Protocol
+
+from expression import Error, Ok, Result
+from tornado.httputil import HTTPHeaders
+
+from teaselledge_fleet.connection.endpoint import (
+    BrokenAnswerError,
+    Exchange,
+    SendFailure,
+)
+from teaselledge_fleet.connection.front import CallerSink, Incoming
+from teaselledge_fleet.connection.pool import ConnectionPool
+from teaselledge_fleet.faults import ANSWERS, Fault, FaultKind, body_of, head_of
+from teaselledge_fleet.log import get_log
+from teaselledge_fleet.process.budget import RepeatBudget
+from teaselledge_fleet.process.endpoints import Endpoint
+from teaselledge_fleet.request.call import Call, Dialect, EndpointHead, Onward
+from teaselledge_fleet.request.events import EventSplitter
+from teaselledge_fleet.version.routes import Organisation, Repeat, Route, Routing
+
+__all__ = ["Journey", "Outcome", "Placer", "Server"]
+
+_log = get_log("serving")
+
+SUCCESS = range(200, 300)
+SERVER_ERROR = 500
+NO_BODY = frozenset({204, 304})
+PROMISES = frozenset({408, 421, 429, 503})
+"""Statuses that promise that a request has not run."""
+
+HAND_OVER_SECONDS = 0.02
+"""Taken off the time given to an endpoint, for the way of its answer back."""
+
+
+class Outcome(Enum):
+    """How an attempt ended."""
+
+    WHOLE = auto()
+    """The answer was passed on whole."""
+
+    DECLINED = auto()
+    """The endpoint did not run it."""
+
+    UNSENT = auto()
+    """No connection came about."""
+
+    LOST = auto()
+    """It was sent, and no usable answer came: it may have run."""
+
+    FAILED = auto()
+    """The endpoint ran it and told of a failure."""
+
+    BROKEN = auto()
+    """The answer stopped after a part of it was passed on."""
+
+    ABANDONED = auto()
+    """The caller left, or its time ran out."""
+
+
+@dataclass
+class Journey:
+    """What one request has been through.
+
+    Attributes
+    ----------
+    call : Call
+        The request.
+    body : bytes
+        Its body.
+    route : Route
+        Its route.
+    service : str
+        The service it goes to.
+    organisation : Organisation or None
+        Whose it is.
+    arrived, deadline : float
+        Loop times.
+    tried : list of str
+        Ids of the endpoints it was sent to, or that could not be reached.
+    sends : int
+        How often it was sent.
+    may_have_run : bool
+        Whether any attempt may have run.
+    """
+
+    call: Call
+    body: bytes
+    route: Route
+    service: str
+    organisation: Organisation | None
+    arrived: float
+    deadline: float
+    tried: list[str] = field(default_factory=list)
+    sends: int = 0
+    may_have_run: bool = False
+    begun: float | None = None
+    version: int = 0
+
+    @property
+    def owner(self) -> str:
+        """Name of the organisation, empty without one."""
+        return self.organisation.name if self.organisation is not None else ""
+
+
+class Placer(Protocol):
+    """Decides where and when a request runs."""
+
+    async def place(self, journey: Journey) -> Result[Endpoint, Fault]:
+        """Return the endpoint for the next attempt, or why there is none."""
+
+    def began(self, journey: Journey, endpoint: Endpoint) -> None:
+        """Note the first part of an answer."""
+
+    def ended(self, journey: Journey, endpoint: Endpoint, outcome: Outcome) -> None:
+        """Note the end of an attempt."""
+
+
+class Server:
+    """Serves requests of callers.
+
+    Attributes
+    ----------
+    routing : Routing or None
+        The configuration in force.
+    leaving : bool
+        Whether new requests are refused because the router is about to stop.
+    """
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        pool: ConnectionPool,
+        placer: Placer,
+        budget: RepeatBudget,
+    ) -> None:
+        self._dialect = dialect
+        self._pool = pool
+        self._placer = placer
+        self._budget = budget
+        self.routing: Routing | None = None
+        self.leaving = False
+
+    async def serve(self, incoming: Incoming, sink: CallerSink) -> None:
+        """Run a request and answer it."""
+        call = self._dialect.read_call(
+            incoming.method, incoming.target, incoming.headers
+        )
+        admitted = self._admit(call, incoming)
+        if admitted.is_error():
+            await self._refuse(call, sink, admitted.error)
+            return
+        journey = admitted.ok
+        await _Run(self, journey, sink).go()
+
+    def _admit(self, call: Call, incoming: Incoming) -> Result[Journey, Fault]:
+        routing = self.routing
+        if routing is None:
+            return Error(Fault(FaultKind.NOT_CONFIGURED, 0.5))
+        if self.leaving:
+            return Error(Fault(FaultKind.LEAVING, 0.05))
+        route = routing.route_of(call.host, call.path)
+        if route is None:
+            return Error(Fault(FaultKind.NO_ROUTE))
+        organisation = routing.holder_of(call.key) if call.key else None
+        if organisation is None and routing.organisations and not route.public:
+            return Error(Fault(FaultKind.UNKNOWN_KEY))
+        seconds = route.timeout
+        if call.patience is not None:
+            seconds = min(seconds, call.patience)
+        draw = hash(call.id) % 997 / 997
+        return Ok(
+            Journey(
+                call,
+                incoming.body,
+                route,
+                route.target(draw),
+                organisation,
+                incoming.arrived,
+                incoming.arrived + seconds,
+                version=routing.version,
+            )
+        )
+
+    async def _refuse(self, call: Call, sink: CallerSink, fault: Fault) -> None:
+        body = body_of(fault)
+        headers = head_of(fault, self._dialect.refusal_headers(call), len(body))
+        chunk = None if call.method == "HEAD" else body
+        await sink.start(ANSWERS[fault.kind].status, headers, chunk)
+        sink.finish()
+
+
+class _Run:
+    """The attempts of one request."""
+
+    def __init__(self, server: Server, journey: Journey, sink: CallerSink) -> None:
+        self._server = server
+        self._journey = journey
+        self._sink = sink
+        self._splitter = EventSplitter() if journey.route.stream else None
+        self._fault: Fault | None = None
+        self._relayed = 0
+
+    async def go(self) -> None:
+        """Run the request to its end."""
+        outcome, endpoint = Outcome.ABANDONED, None
+        try:
+            async with asyncio.timeout_at(self._journey.deadline):
+                outcome, endpoint = await self._attempts()
+        except TimeoutError:
+            await self._time_out()
+        finally:
+            self._tell(outcome, endpoint)
+
+    async def _attempts(self) -> tuple[Outcome, Endpoint | None]:
+        journey = self._journey
+        while True:
+            placed = await self._server._placer.place(journey)
+            if placed.is_error():
+                await self._give_up(placed.error)
+                return Outcome.DECLINED, None
+            endpoint = placed.ok
+            outcome = Outcome.ABANDONED
+            try:
+                outcome = await self._attempt(endpoint)
+            finally:
+                self._server._placer.ended(journey, endpoint, outcome)
+            if outcome is Outcome.WHOLE:
+                return outcome, endpoint
+            if not self._again(outcome):
+                await self._give_up(self._last_fault(outcome))
+                return outcome, endpoint
+
+    async def _attempt(self, endpoint: Endpoint) -> Outcome:
+        journey = self._journey
+        server = self._server
+        journey.tried.append(endpoint.id)
+        once = journey.route.repeat is not Repeat.ANY
+        taken = await server._pool.take(endpoint.address, once)
+        if taken.is_error():
+            return Outcome.UNSENT
+        if journey.sends == 0:
+            server._budget.note_first(journey.service)
+        journey.sends += 1
+        before = journey.may_have_run
+        journey.may_have_run = True
+        headers = server._dialect.onward_headers(journey.call, self._onward(endpoint))
+        exchange = taken.ok.start(journey.call, server._dialect, headers, journey.body)
+        try:
+            head = await exchange.head()
+            if head.is_error():
+                return self._lost(head.error)
+            if head.ok.declined:
+                journey.may_have_run = before
+                return Outcome.DECLINED
+            return await self._pass_on(endpoint, head.ok, exchange)
+        finally:
+            exchange.cancel()
+
+    def _onward(self, endpoint: Endpoint) -> Onward:
+        journey = self._journey
+        left = journey.deadline - asyncio.get_running_loop().time()
+        after = self._splitter.last_id if self._splitter is not None else None
+        return Onward(
+            endpoint.id,
+            journey.owner or None,
+            max(0.001, left - HAND_OVER_SECONDS),
+            after,
+        )
+
+    def _lost(self, failure: SendFailure) -> Outcome:
+        _log.info(
+            "attempt lost",
+            id=self._journey.call.id,
+            fault=failure.fault.value,
+            reused=failure.reused,
+        )
+        return Outcome.BROKEN if self._sink.started else Outcome.LOST
+
+    async def _pass_on(
+        self, endpoint: Endpoint, head: EndpointHead, exchange: Exchange
+    ) -> Outcome:
+        if not head.sound:
+            return Outcome.BROKEN if self._sink.started else Outcome.LOST
+        failed = head.status >= SERVER_ERROR or head.status in PROMISES
+        if failed and (self._sink.started or self._may_repeat(Outcome.FAILED)):
+            return Outcome.FAILED
+        if head.status in PROMISES:
+            # the endpoint does not say that it has not run the request, and this
+            # status would
+            return Outcome.LOST
+        if head.status not in SUCCESS or self._splitter is None:
+            return await self._relay(endpoint, head, exchange)
+        return await self._relay_events(endpoint, head, exchange)
+
+    async def _relay(
+        self, endpoint: Endpoint, head: EndpointHead, exchange: Exchange
+    ) -> Outcome:
+        """Pass on an answer whose parts have no edges."""
+        if self._sink.started:
+            return Outcome.BROKEN
+        parts = []
+        try:
+            async for part in exchange.body():
+                parts.append(part)
+        except BrokenAnswerError:
+            return Outcome.LOST
+        self._server._placer.began(self._journey, endpoint)
+        body = b"".join(parts)
+        headers = head.headers.copy()
+        if head.status not in NO_BODY and "Content-Length" not in headers:
+            headers["Content-Length"] = str(len(body))
+        await self._sink.start(head.status, headers, body or None)
+        self._sink.finish()
+        return Outcome.WHOLE if head.status < SERVER_ERROR else Outcome.FAILED
+
+    async def _relay_events(
+        self, endpoint: Endpoint, head: EndpointHead, exchange: Exchange
+    ) -> Outcome:
+        """Pass on whole events as they come."""
+        splitter = self._splitter
+        assert splitter is not None
+        try:
+            async for part in exchange.body():
+                events = splitter.feed(part)
+                if events:
+                    await self._put(endpoint, head, events)
+        except BrokenAnswerError:
+            splitter.drop()
+            return Outcome.BROKEN if self._sink.started else Outcome.LOST
+        if splitter.partial:
+            splitter.drop()
+            return Outcome.BROKEN if self._sink.started else Outcome.LOST
+        if not self._sink.started:
+            await self._put(endpoint, head, b"")
+        self._sink.finish()
+        return Outcome.WHOLE
+
+    async def _put(self, endpoint: Endpoint, head: EndpointHead, events: bytes) -> None:
+        self._relayed += len(events)
+        if self._sink.started:
+            await self._sink.write(events)
+            return
+        journey = self._journey
+        journey.begun = asyncio.get_running_loop().time()
+        self._server._placer.began(journey, endpoint)
+        headers = head.headers.copy()
+        # the whole may come from several endpoints
+        headers.pop("Content-Length", None)
+        await self._sink.start(head.status, headers, events or None)
+
+    def _again(self, outcome: Outcome) -> bool:
+        if self._sink.finished or not self._may_repeat(outcome):
+            return False
+        if outcome is Outcome.UNSENT:
+            return True
+        return self._server._budget.allow(self._journey.service)
+
+    def _may_repeat(self, outcome: Outcome) -> bool:
+        journey = self._journey
+        route = journey.route
+        if outcome is Outcome.UNSENT:
+            return len(journey.tried) - journey.sends < MAX_UNREACHED
+        if journey.sends >= route.attempts:
+            return False
+        if outcome is Outcome.DECLINED:
+            return True
+        return route.repeat is not Repeat.NEVER
+
+    def _last_fault(self, outcome: Outcome) -> Fault:
+        journey = self._journey
+        if journey.may_have_run:
+            return Fault(FaultKind.ENDPOINT_FAILED)
+        if outcome is Outcome.UNSENT:
+            return Fault(FaultKind.NO_ENDPOINT, 0.3)
+        return Fault(FaultKind.ENDPOINT_DECLINED, 0.3)
+
+    async def _give_up(self, fault: Fault) -> None:
+        if self._sink.finished:
+            return
+        if self._sink.started:
+            self._sink.abort()
+            return
+        if self._journey.may_have_run and ANSWERS[fault.kind].status in PROMISES:
+            # an earlier attempt may have run, so no promise can be made
+            fault = Fault(FaultKind.ENDPOINT_FAILED)
+        self._fault = fault
+        await self._server._refuse(self._journey.call, self._sink, fault)
+
+    async def _time_out(self) -> None:
+        if self._journey.may_have_run:
+            await self._give_up(Fault(FaultKind.ENDPOINT_TIMEOUT))
+            return
+        await self._give_up(Fault(FaultKind.NOT_IN_TIME, 0.5))
+
+    def _tell(self, outcome: Outcome, endpoint: Endpoint | None) -> None:
+        journey = self._journey
+        now = asyncio.get_running_loop().time()
+        first = None
+        if journey.begun is not None:
+            first = round((journey.begun - journey.arrived) * 1000)
+        _log.info(
+            "request ended",
+            id=journey.call.id,
+            route=journey.route.name,
+            organisation=journey.owner,
+            version=journey.version,
+            outcome=outcome.name.lower(),
+            fault=self._fault.kind.value if self._fault is not None else None,
+            endpoint=endpoint.id if endpoint is not None else None,
+            tried=journey.tried,
+            sends=journey.sends,
+            first_ms=first,
+            ms=round((now - journey.arrived) * 1000),
+            left_ms=round((journey.deadline - now) * 1000),
+        )
+
+
+MAX_UNREACHED = 3
+"""Endpoints that can't be connected to, before a request is given up."""
--- /dev/null
+++ b/packages/wire/src/teaselledge_wire/gen/fleet/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
