--- a/packages/fleet/src/teaselledge_fleet/connection/peers.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import cast
 
 from expression import Error, Ok, Result
 from teaselledge_wire.gen.fleet.ttypes import Pulse, WholeState
@@ -50,8 +51,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
-        assert isinstance(transport, asyncio.DatagramTransport)
-        self._transport = transport
+        # the loop's own transport has the methods, but not the type
+        self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: object) -> None:
         """Take one datagram."""
--- a/packages/fleet/src/teaselledge_fleet/process/belief.py
+++ b/packages/fleet/src/teaselledge_fleet/process/belief.py
@@ -18,6 +18,13 @@
 Without this wait every engine would look gone just then.
 """
 
+LAPSE_SECONDS = 2.4
+"""Gap in the fleet's knowledge after which the store counts as having been away.
+
+An entry lapses after three beats of 1.2 s; at most one beat of it is in the past
+when the store goes away.
+"""
+
 GONE_KEPT = 200
 """Entries of gone endpoints that are remembered, so that old news can't revive them."""
 
@@ -50,7 +57,6 @@
         self.follower = ""
         self.on_change: list[Callable[[], None]] = []
         self._as_of: float | None = None
-        self._trouble_at: float | None = None
         self._returned_at: float | None = None
         self._fresh_changes: list[Entry] = []
 
@@ -64,11 +70,6 @@
         """Seconds since the endpoints were known to be as they are believed."""
         return None if self._as_of is None else self._now() - self._as_of
 
-    @property
-    def trouble_age(self) -> float | None:
-        """Seconds since any router knew the store to fail."""
-        return None if self._trouble_at is None else self._now() - self._trouble_at
-
     def take_configuration(self, data: bytes, source: str) -> bool:
         """Take a configuration if it is newer; False if it can't be read."""
         routing = self._decode(data)
@@ -90,7 +91,7 @@
 
     def take_rows(self, revision: int, entries: Iterable[Entry], as_of: float) -> None:
         """Take a reading of all entries, made by this router."""
-        self._note_return(as_of)
+        self._advance(as_of)
         present = {entry.id: entry for entry in entries}
         news = list(present.values())
         for entry in self.view:
@@ -99,8 +100,6 @@
                     continue
                 news.append(Entry(entry.id, max(revision, entry.revision + 1), None))
         self._merge(news, "store")
-        if not self._settling():
-            self._as_of = as_of
         self.follower = self._vm
 
     def take_news(self, entries: Iterable[Entry], source: str) -> None:
@@ -113,18 +112,11 @@
             return
         as_of = self._now() - age
         if self._as_of is None or as_of > self._as_of:
-            self._as_of = as_of
+            self._advance(as_of)
             # of two that read at the same time, the first by name goes on
             if self.follower != self._vm or follower < self._vm:
                 self.follower = follower
 
-    def note_trouble(self, age: float = 0.0) -> None:
-        """Note that the store failed so many seconds ago."""
-        at = self._now() - age
-        if self._trouble_at is None or at > self._trouble_at:
-            self._trouble_at = at
-            self._returned_at = None
-
     def take_changes(self) -> list[Entry]:
         """Return the entries that changed since the last call."""
         changes, self._fresh_changes = self._fresh_changes, []
@@ -150,9 +142,15 @@
         self.view.prune(GONE_KEPT)
         self._tell()
 
-    def _note_return(self, now: float) -> None:
-        if self._trouble_at is not None and self._returned_at is None:
-            self._returned_at = now
+    def _advance(self, as_of: float) -> None:
+        """Note that the endpoints were known to be as they are believed."""
+        before = self._as_of
+        if before is not None and as_of <= before:
+            return
+        if before is not None and as_of - before > LAPSE_SECONDS:
+            _log.info("store was away", seconds=round(as_of - before, 2))
+            self._returned_at = self._now()
+        self._as_of = as_of
 
     def _settling(self) -> bool:
         """Whether the store has just come back."""
--- a/packages/fleet/src/teaselledge_fleet/process/following.py
+++ b/packages/fleet/src/teaselledge_fleet/process/following.py
@@ -68,7 +68,6 @@
             if await self._read():
                 self._pause = FIRST_PAUSE
                 continue
-            self._belief.note_trouble()
             await asyncio.sleep(self._pause * random.uniform(0.7, 1.3))
             self._pause = min(LONGEST_PAUSE, self._pause * 2)
 
--- a/packages/fleet/src/teaselledge_fleet/process/spreading.py
+++ b/packages/fleet/src/teaselledge_fleet/process/spreading.py
@@ -160,7 +160,6 @@
             belief.version,
             belief.view.digest,
             _milliseconds(belief.age),
-            _milliseconds(belief.trouble_age),
             belief.follower,
             [_to_wire(entry) for entry, _ in now],
             self._work.tell_work(),
@@ -184,8 +183,6 @@
             if self._members.rumour(Member.from_wire(info)):
                 self.on_members()
         belief = self._belief
-        if pulse.trouble_age is not None and pulse.trouble_age >= 0:
-            belief.note_trouble(pulse.trouble_age / 1000)
         if pulse.changes:
             belief.take_news(map(_from_wire, pulse.changes), sender.vm)
         if pulse.store_age is not None and pulse.store_age >= 0:
--- a/packages/wire/fleet.thrift
+++ b/packages/wire/fleet.thrift
@@ -48,12 +48,11 @@
   4: i64 version,
   5: i64 digest,
   6: i32 store_age,
-  7: i32 trouble_age,
-  8: string follower,
-  9: list<EndpointState> changes,
-  10: list<EndpointWork> work,
-  11: list<OrganisationUse> uses,
-  12: list<RouterInfo> others,
+  7: string follower,
+  8: list<EndpointState> changes,
+  9: list<EndpointWork> work,
+  10: list<OrganisationUse> uses,
+  11: list<RouterInfo> others,
 }
 
 // Everything, for a router that knows less.
--- a/packages/wire/src/teaselledge_wire/gen/fleet/ttypes.py
+++ b/packages/wire/src/teaselledge_wire/gen/fleet/ttypes.py
@@ -513,7 +513,6 @@
      - version
      - digest
      - store_age
-     - trouble_age
      - follower
      - changes
      - work
@@ -529,7 +528,6 @@
         'version',
         'digest',
         'store_age',
-        'trouble_age',
         'follower',
         'changes',
         'work',
@@ -538,14 +536,13 @@
     )
 
 
-    def __init__(self, protocol=None, sender=None, sequence=None, version=None, digest=None, store_age=None, trouble_age=None, follower=None, changes=None, work=None, uses=None, others=None,):
+    def __init__(self, protocol=None, sender=None, sequence=None, version=None, digest=None, store_age=None, follower=None, changes=None, work=None, uses=None, others=None,):
         self.protocol = protocol
         self.sender = sender
         self.sequence = sequence
         self.version = version
         self.digest = digest
         self.store_age = store_age
-        self.trouble_age = trouble_age
         self.follower = follower
         self.changes = changes
         self.work = work
@@ -593,16 +590,11 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
-                if ftype == TType.I32:
-                    self.trouble_age = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 8:
                 if ftype == TType.STRING:
                     self.follower = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 9:
+            elif fid == 8:
                 if ftype == TType.LIST:
                     self.changes = []
                     (_etype3, _size0) = iprot.readListBegin()
@@ -613,7 +605,7 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 10:
+            elif fid == 9:
                 if ftype == TType.LIST:
                     self.work = []
                     (_etype9, _size6) = iprot.readListBegin()
@@ -624,7 +616,7 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 11:
+            elif fid == 10:
                 if ftype == TType.LIST:
                     self.uses = []
                     (_etype15, _size12) = iprot.readListBegin()
@@ -635,7 +627,7 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 12:
+            elif fid == 11:
                 if ftype == TType.LIST:
                     self.others = []
                     (_etype21, _size18) = iprot.readListBegin()
@@ -680,37 +672,33 @@
             oprot.writeFieldBegin('store_age', TType.I32, 6)
             oprot.writeI32(self.store_age)
             oprot.writeFieldEnd()
-        if self.trouble_age is not None:
-            oprot.writeFieldBegin('trouble_age', TType.I32, 7)
-            oprot.writeI32(self.trouble_age)
-            oprot.writeFieldEnd()
         if self.follower is not None:
-            oprot.writeFieldBegin('follower', TType.STRING, 8)
+            oprot.writeFieldBegin('follower', TType.STRING, 7)
             oprot.writeString(self.follower.encode('utf-8') if sys.version_info[0] == 2 else self.follower)
             oprot.writeFieldEnd()
         if self.changes is not None:
-            oprot.writeFieldBegin('changes', TType.LIST, 9)
+            oprot.writeFieldBegin('changes', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
             for iter24 in self.changes:
                 iter24.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.work is not None:
-            oprot.writeFieldBegin('work', TType.LIST, 10)
+            oprot.writeFieldBegin('work', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
             for iter25 in self.work:
                 iter25.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.uses is not None:
-            oprot.writeFieldBegin('uses', TType.LIST, 11)
+            oprot.writeFieldBegin('uses', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.uses))
             for iter26 in self.uses:
                 iter26.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.others is not None:
-            oprot.writeFieldBegin('others', TType.LIST, 12)
+            oprot.writeFieldBegin('others', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.others))
             for iter27 in self.others:
                 iter27.write(oprot)
@@ -957,12 +945,11 @@
     (4, TType.I64, 'version', None, None, ),  # 4
     (5, TType.I64, 'digest', None, None, ),  # 5
     (6, TType.I32, 'store_age', None, None, ),  # 6
-    (7, TType.I32, 'trouble_age', None, None, ),  # 7
-    (8, TType.STRING, 'follower', 'UTF8', None, ),  # 8
-    (9, TType.LIST, 'changes', (TType.STRUCT, [EndpointState, None], False), None, ),  # 9
-    (10, TType.LIST, 'work', (TType.STRUCT, [EndpointWork, None], False), None, ),  # 10
-    (11, TType.LIST, 'uses', (TType.STRUCT, [OrganisationUse, None], False), None, ),  # 11
-    (12, TType.LIST, 'others', (TType.STRUCT, [RouterInfo, None], False), None, ),  # 12
+    (7, TType.STRING, 'follower', 'UTF8', None, ),  # 7
+    (8, TType.LIST, 'changes', (TType.STRUCT, [EndpointState, None], False), None, ),  # 8
+    (9, TType.LIST, 'work', (TType.STRUCT, [EndpointWork, None], False), None, ),  # 9
+    (10, TType.LIST, 'uses', (TType.STRUCT, [OrganisationUse, None], False), None, ),  # 10
+    (11, TType.LIST, 'others', (TType.STRUCT, [RouterInfo, None], False), None, ),  # 11
 )
 all_structs.append(WholeState)
 WholeState.thrift_spec = (
