--- a/packages/fleet/src/teaselledge_fleet/process/distance.py
+++ b/packages/fleet/src/teaselledge_fleet/process/distance.py
@@ -23,11 +23,15 @@
         self._zone = zone
         self._zones = zones
 
-    def seconds(self, zone: str, kilobytes: float) -> float:
-        """Return the cost of an exchange with an endpoint there, in seconds."""
+    def seconds(self, zone: str) -> float:
+        """Return the time that the way there and back takes."""
         if zone == self._zone:
             return 0.0
-        paid = kilobytes * PAID_SECONDS_PER_KILOBYTE
-        if self._zones.get(zone) == self._zones.get(self._zone):
-            return ZONE_SECONDS + paid
-        return REGION_SECONDS + paid
+        return ZONE_SECONDS if self._near(zone) else REGION_SECONDS
+
+    def paid(self, zone: str, kilobytes: float) -> float:
+        """Return what an exchange is billed, in seconds of an engine's time."""
+        return 0.0 if zone == self._zone else kilobytes * PAID_SECONDS_PER_KILOBYTE
+
+    def _near(self, zone: str) -> bool:
+        return self._zones.get(zone) == self._zones.get(self._zone)
--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -45,14 +45,25 @@
 """Organisations within a tenth of the level count as inside; the views of two
 routers differ by about that much."""
 
-FETCH_SECONDS = 0.0025
-FETCH_SECONDS_PER_TOKEN = 4.5e-6
-"""Price of having parts copied from another engine: 2.5 ms to set up, 1.4 us a token
-on the engines' link of 740 Gbit/s, and 3.1 us for what the copy is billed."""
+DELAY_WEIGHT = 0.1
+"""What a second of delay weighs against a second of an engine's time.
+
+An answer within the objective is worth the same whether it came early or late, so
+delay alone must not scatter prompts over engines that then read their parts again.
+"""
 
-READ_SECONDS_PER_TOKEN = 2.7e-5
-"""Price of reading a part again: 13.5 us of an engine's time, and as much for what
-is billed."""
+EASY_PART = 0.3
+"""Part of the objective up to which a delay harms nobody; see `WAIT_PART`."""
+
+OVERRUN_WEIGHT = 3.0
+"""What a second of delay beyond that weighs besides."""
+
+FETCH_SECONDS = 0.0025
+FETCH_SECONDS_PER_TOKEN = 3.2e-5
+"""Price of having parts copied from another engine: 2.5 ms to set up and 4.5 us a
+token for the copy and its bill. The second copy also pushes as many tokens of other
+parts out of a memory that is always full, and most of them are read again, at 27 us.
+"""
 
 FAILING_SECONDS = 0.6
 """Detour that avoiding an endpoint whose every attempt fails is worth."""
@@ -191,28 +202,32 @@
         prompt = journey.call.prompt
         kilobytes = len(journey.body) / 1024
         if prompt is None:
-            return [self._plain_candidate(e, kilobytes) for e in endpoints]
+            return [self._plain_candidate(e, journey, kilobytes) for e in endpoints]
         kilobytes += _output(prompt) * ANSWER_BYTES_PER_TOKEN / 1024
         part = shared_part(prompt)
         order = ranked(part, endpoints) if part is not None else endpoints
         return [
-            self._engine_candidate(e, prompt, part, order, kilobytes) for e in order
+            self._engine_candidate(e, journey, part, order, kilobytes) for e in order
         ]
 
-    def _plain_candidate(self, endpoint: Endpoint, kilobytes: float) -> _Candidate:
+    def _plain_candidate(
+        self, endpoint: Endpoint, journey: Journey, kilobytes: float
+    ) -> _Candidate:
         work = self._work.total(endpoint.id)
         wait = self._plain.seconds(endpoint.id, work, endpoint.slots)
-        cost = wait + self._detour(endpoint, kilobytes) + random.random() * 0.002
-        return _Candidate(endpoint, work, 0, wait, cost, None)
+        cost = self._detour(endpoint, journey, kilobytes, wait)
+        return _Candidate(endpoint, work, 0, wait, cost + _tie_break(), None)
 
     def _engine_candidate(
         self,
         endpoint: Endpoint,
-        prompt: Prompt,
+        journey: Journey,
         part: str | None,
         order: list[Endpoint],
         kilobytes: float,
     ) -> _Candidate:
+        prompt = journey.call.prompt
+        assert prompt is not None
         work = self._work.total(endpoint.id)
         unread = prompt.tokens
         extra, source = 0.0, None
@@ -227,14 +242,21 @@
                 # it may have become the first choice just now
                 source = order[1]
         wait = self._engines.seconds(endpoint.id, work, endpoint.slots, 0)
-        cost = wait + extra + self._detour(endpoint, kilobytes)
+        cost = extra + self._detour(endpoint, journey, kilobytes, wait)
         address = source.address if source is not None else None
-        return _Candidate(endpoint, work, max(1, unread), wait, cost, address)
+        return _Candidate(
+            endpoint, work, max(1, unread), wait, cost + _tie_break(), address
+        )
 
-    def _detour(self, endpoint: Endpoint, kilobytes: float) -> float:
-        """Return what the way to an endpoint and its failures cost, in seconds."""
+    def _detour(
+        self, endpoint: Endpoint, journey: Journey, kilobytes: float, wait: float
+    ) -> float:
+        """Return what delay, failures and bytes on the way cost, in seconds."""
         failing = self._results.failing(endpoint.id) * FAILING_SECONDS
-        return failing + self._distance.seconds(endpoint.zone, kilobytes)
+        delay = wait + self._distance.seconds(endpoint.zone)
+        overrun = max(0.0, delay - EASY_PART * journey.route.objective)
+        paid = self._distance.paid(endpoint.zone, kilobytes)
+        return failing + paid + DELAY_WEIGHT * delay + OVERRUN_WEIGHT * overrun
 
     def _refusal(self, journey: Journey, best: _Candidate) -> Fault | None:
         if journey.call.prompt is None or journey.sends:
@@ -267,6 +289,11 @@
         return asyncio.get_running_loop().time()
 
 
+def _tie_break() -> float:
+    """Return up to 0.2 ms, so that routers don't all choose the same of two."""
+    return random.random() * 0.0002
+
+
 def _output(prompt: Prompt) -> int:
     if prompt.output_hint is not None:
         return min(prompt.output_hint, prompt.max_output or prompt.output_hint)
