--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,8 @@
 VENV ?= .venv
 PYTHON ?= python3
 PY := $(VENV)/bin/python
-SOURCES := packages tools bench
-export PYTHONPATH := $(CURDIR)/packages/wire/src:$(CURDIR)/packages/router/src:$(CURDIR)/packages/ctl/src:$(CURDIR)/packages/standins/src:$(CURDIR)
+SOURCES := packages platform tools bench
+export PYTHONPATH := $(CURDIR)/packages/wire/src:$(CURDIR)/packages/router/src:$(CURDIR)/packages/ctl/src:$(CURDIR)/packages/standins/src:$(CURDIR)/packages/fleet/src:$(CURDIR)/platform/src:$(CURDIR)
 export PYTHONDONTWRITEBYTECODE := 1
 export PYTHONHASHSEED := 0
 MYPY_FLAGS := $(if $(VENV_READY),--cache-dir=/dev/null)
@@ -14,11 +14,11 @@
 # VENV_READY=1 takes the environment as it is, for a second worktree
 venv: $(if $(VENV_READY),,$(VENV)/.stamp)
 
-$(VENV)/.stamp: constraints.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/.stamp: constraints.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	test -x $(PY) || $(PYTHON) -m venv $(VENV)
 	$(PY) -m pip install --quiet --disable-pip-version-check --constraint constraints.txt setuptools wheel
 	$(PY) -m pip install --quiet --disable-pip-version-check --constraint constraints.txt --no-build-isolation \
-	    -e packages/wire -e packages/router -e packages/ctl -e packages/standins
+	    -e packages/wire -e packages/fleet -e packages/router -e packages/ctl -e packages/standins -e platform
 	touch $@
 
 format: venv
--- a/packages/fleet/src/teaselledge_fleet/connection/endpoint.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/endpoint.py
@@ -202,7 +202,8 @@
     async def _drain_events(self) -> None:
         while not self._ended:
             event = self._http.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
+            if not isinstance(event, h11.Event):
+                # it needs more bytes, or waits for the next request
                 return
             if isinstance(event, h11.ConnectionClosed):
                 await self._fail(SendFault.CLOSED, None)
--- a/packages/fleet/src/teaselledge_fleet/connection/front.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/front.py
@@ -17,6 +17,7 @@
     responses,
 )
 from tornado.iostream import StreamClosedError
+from tornado.netutil import bind_sockets
 
 from teaselledge_fleet.log import get_log
 
@@ -31,8 +32,9 @@
 after a gap of 2 to 4 s, so none that still waits is cut.
 """
 
-LINGER_SECONDS = 1.0
-"""Time for which the rest of a body is read after an early answer."""
+BACKLOG = 1024
+"""Connections that wait to be accepted; beyond it, opening packets are dropped and
+sent again a second later."""
 
 
 class Incoming:
@@ -175,6 +177,7 @@
     ) -> None:
         self.serve = serve
         self._running: set[_Reader] = set()
+        self._ports: list[int] = []
         self._http = HTTPServer(
             self,
             max_header_size=header_bytes,
@@ -182,6 +185,11 @@
             idle_connection_timeout=idle_seconds,
         )
 
+    @property
+    def ports(self) -> list[int]:
+        """Ports on which it listens."""
+        return self._ports
+
     @property
     def running(self) -> int:
         """Requests that are being read or answered."""
@@ -189,7 +197,9 @@
 
     def listen(self, host: str, port: int) -> None:
         """Listen on an address."""
-        self._http.listen(port, host, backlog=1024)
+        sockets = bind_sockets(port, host, backlog=BACKLOG)
+        self._ports += [sock.getsockname()[1] for sock in sockets]
+        self._http.add_sockets(sockets)
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
--- a/packages/fleet/src/teaselledge_fleet/connection/pool.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/pool.py
@@ -94,10 +94,12 @@
             idle = now - connection.idle_since
             if idle > self._longest(connection):
                 connection.close()
-            elif not once or idle <= self._limits.once_seconds:
-                # the latest one, so that the others can time out
-                if found is None or connection.idle_since > found.idle_since:
-                    found = connection
+                continue
+            if once and idle > self._limits.once_seconds:
+                continue
+            # the latest one, so that the others can time out
+            if found is None or connection.idle_since > found.idle_since:
+                found = connection
         return found
 
     def _longest(self, connection: EndpointConnection) -> float:
--- a/packages/fleet/src/teaselledge_fleet/process/belief.py
+++ b/packages/fleet/src/teaselledge_fleet/process/belief.py
@@ -118,6 +118,11 @@
             if self.follower != self._vm or follower < self._vm:
                 self.follower = follower
 
+    def give_up_following(self) -> None:
+        """Note that this router can't read the store, so that another one does."""
+        if self.follower == self._vm:
+            self.follower = ""
+
     def take_changes(self) -> list[Entry]:
         """Return the entries that changed since the last call."""
         changes, self._fresh_changes = self._fresh_changes, []
--- a/packages/fleet/src/teaselledge_fleet/process/following.py
+++ b/packages/fleet/src/teaselledge_fleet/process/following.py
@@ -68,6 +68,7 @@
             if await self._read():
                 self._pause = FIRST_PAUSE
                 continue
+            self._belief.give_up_following()
             await asyncio.sleep(self._pause * random.uniform(0.7, 1.3))
             self._pause = min(LONGEST_PAUSE, self._pause * 2)
 
@@ -102,10 +103,10 @@
             self._note_failure(read.error)
             return False
         found = read.ok
-        if found.data is not None:
-            if not self._belief.take_configuration(found.data, "store"):
-                # the next change, or the next start, reads it again
-                _log.error("configuration can't be read", revision=found.revision)
+        data = found.data
+        if data is not None and not self._belief.take_configuration(data, "store"):
+            # the next change, or the next start, reads it again
+            _log.error("configuration can't be read", revision=found.revision)
         self._revision = max(self._revision, found.revision)
         # an answer that came at once must not lead to a rush of calls
         left = started + PERIOD_SECONDS / 2 - asyncio.get_running_loop().time()
--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -108,9 +108,7 @@
         Region of each zone.
     """
 
-    def __init__(
-        self, view: EndpointView, zone: str, zones: Mapping[str, str]
-    ) -> None:
+    def __init__(self, view: EndpointView, zone: str, zones: Mapping[str, str]) -> None:
         self._view = view
         self._distance = Distance(zone, zones)
         self._work = FleetWork()
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -93,9 +93,7 @@
         self._belief = Belief(place.vm, decode)
         self._pool = ConnectionPool()
         self._budget = RepeatBudget(_limits(settings))
-        self._placer = FleetPlacer(
-            self._belief.view, place.zone, settings.zones
-        )
+        self._placer = FleetPlacer(self._belief.view, place.zone, settings.zones)
         self._server = Server(dialect, self._pool, self._placer, self._budget)
         limits = CallerLimits()
         self._front = FrontServer(
@@ -173,9 +171,7 @@
         if path != self._pages.addresses_path:
             return Page(404)
         zone, region = self._pages.place_asked(arguments)
-        found = addresses_for(
-            self._members.ready, self._settings.zones, zone, region
-        )
+        found = addresses_for(self._members.ready, self._settings.zones, zone, region)
         if not found:
             return Page(503)
         return self._pages.addresses(found, ADDRESS_SECONDS)
--- a/packages/fleet/src/teaselledge_fleet/process/shares.py
+++ b/packages/fleet/src/teaselledge_fleet/process/shares.py
@@ -57,9 +57,7 @@
 
     def mark(self, now: float, asked: int, received: int) -> None:
         """Note the counters."""
-        if self.marks and (
-            asked < self.marks[-1][1] or received < self.marks[-1][2]
-        ):
+        if self.marks and (asked < self.marks[-1][1] or received < self.marks[-1][2]):
             # the other router has started anew
             self.marks.clear()
         if self.marks and now - self.marks[-1][0] < SLICE_SECONDS:
--- a/packages/fleet/src/teaselledge_fleet/request/serving.py
+++ b/packages/fleet/src/teaselledge_fleet/request/serving.py
@@ -6,7 +6,6 @@
 from typing import Protocol
 
 from expression import Error, Ok, Result
-from tornado.httputil import HTTPHeaders
 
 from teaselledge_fleet.connection.endpoint import (
     BrokenAnswerError,
--- /dev/null
+++ b/packages/fleet/tests/test_shares.py
@@ -0,0 +1,70 @@
+"""Tests of fair shares."""
+
+import asyncio
+
+from hypothesis import given
+from hypothesis import strategies as st
+from teaselledge_fleet.process.shares import OrganisationShares, fair_level
+
+VIRTUAL_CLOCK = True
+DEMANDS = st.lists(st.floats(0, 1e6), min_size=1, max_size=20)
+
+
+@given(DEMANDS, st.floats(1, 1e6))
+def test_the_level_uses_the_whole_capacity_and_no_more(demands, capacity):
+    level = fair_level(demands, capacity)
+    given_out = sum(min(demand, level) for demand in demands)
+    expected = min(capacity, sum(demands))
+    assert abs(given_out - expected) <= 1e-6 * max(1.0, expected)
+
+
+async def play(shares: OrganisationShares, seconds: float, asked, received) -> None:
+    for _ in range(int(seconds * 10)):
+        for name, tokens in asked.items():
+            shares.ask(name, tokens)
+        for name, tokens in received.items():
+            shares.receive(name, tokens)
+        shares.over("a", 1.0)
+        await asyncio.sleep(0.1)
+
+
+async def test_nobody_is_over_while_all_demands_fit():
+    shares = OrganisationShares()
+    await play(shares, 6, {"a": 900, "b": 100}, {"a": 900, "b": 100})
+    assert not shares.over("a", 1.0)
+
+
+async def test_the_one_that_floods_is_over():
+    """One organisation asks for many times its usual, and the others for little."""
+    shares = OrganisationShares()
+    asked = {"a": 5000, "b": 300, "c": 200}
+    received = {"a": 700, "b": 200, "c": 100}
+    await play(shares, 6, asked, received)
+    assert shares.over("a", 1.0)
+    assert not shares.over("b", 1.0)
+    assert not shares.over("c", 1.0)
+
+
+async def test_use_at_other_routers_counts():
+    here, there = OrganisationShares(), OrganisationShares()
+    for _ in range(60):
+        there.ask("a", 5000)
+        there.receive("a", 900)
+        here.ask("b", 200)
+        here.receive("b", 100)
+        here.hear("r2", there.tell())
+        here.over("a", 1.0)
+        await asyncio.sleep(0.1)
+    assert here.over("a", 1.0)
+    assert not here.over("b", 1.0)
+
+
+async def test_a_router_that_starts_anew_does_not_count_twice():
+    here, there = OrganisationShares(), OrganisationShares()
+    there.ask("a", 10_000)
+    here.hear("r2", there.tell())
+    await asyncio.sleep(1)
+    anew = OrganisationShares()
+    anew.ask("a", 100)
+    here.hear("r2", anew.tell())
+    assert not here.over("a", 1.0)
--- /dev/null
+++ b/packages/fleet/tests/test_spreading.py
@@ -0,0 +1,139 @@
+"""Tests of how routers share what one of them read from the store."""
+
+import asyncio
+
+from teaselledge_fleet.process.endpoints import Endpoint
+from teaselledge_fleet.version.routes import Routing
+from teaselledge_standins.spreadfleet import SpreadFleet, spread_fleet
+from teaselledge_standins.statestore import MemoryStateStore
+
+VIRTUAL_CLOCK = True
+ROUTERS = 9
+DRAIN_SECONDS = 2.5
+"""Time in which every router must know that an endpoint leaves."""
+
+
+def decode(data: bytes) -> Routing | None:
+    """Read a version number."""
+    return Routing(int(data), (), {}, ()) if data.isdigit() else None
+
+
+def endpoint(name: str, leaving: bool = False) -> Endpoint:
+    return Endpoint(name, "books", "127.0.0.1:1", "north", 4, leaving)
+
+
+def new_store() -> MemoryStateStore:
+    store = MemoryStateStore()
+    store.configure(b"1")
+    for number in range(8):
+        store.put(endpoint(f"e{number}"))
+    return store
+
+
+def alive(fleet: SpreadFleet) -> list:
+    return [router for router in fleet.routers if not router.frozen]
+
+
+async def wait_for(fleet: SpreadFleet, holds) -> float:
+    """Return the seconds until something holds at all living routers."""
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    while not all(holds(router) for router in alive(fleet)):
+        await asyncio.sleep(0.01)
+        assert loop.time() - started < 30
+    return loop.time() - started
+
+
+async def test_calls_to_the_store_do_not_grow_with_routers():
+    """Each router that follows the store by itself costs calls for ever."""
+    calls = {}
+    for count in (3, 9, 20):
+        store = new_store()
+        async with spread_fleet(store, count, decode) as fleet:
+            await asyncio.sleep(5)
+            store.calls = 0
+            await asyncio.sleep(30)
+        assert len({router.belief.view.digest for router in fleet.routers}) == 1
+        calls[count] = store.calls
+    assert calls[20] <= calls[3] * 1.2
+    assert calls[9] <= 100
+
+
+async def test_changes_reach_all_routers_in_time():
+    store = new_store()
+    async with spread_fleet(store, ROUTERS, decode) as fleet:
+        await asyncio.sleep(5)
+        store.configure(b"2")
+        store.put(endpoint("e1", leaving=True))
+        assert await wait_for(fleet, lambda r: r.belief.version == 2) < DRAIN_SECONDS
+        await wait_for(fleet, lambda r: r.belief.view.get("e1").leaving)
+
+
+async def test_another_router_follows_when_the_follower_dies():
+    """The only router that reads the store is killed just as an engine leaves.
+
+    The others must not go on sending it work for longer than the bound.
+    """
+    for moment in range(5):
+        store = new_store()
+        async with spread_fleet(store, ROUTERS, decode) as fleet:
+            await asyncio.sleep(5 + 0.15 * moment)
+            name = fleet.routers[0].belief.follower
+            next(r for r in fleet.routers if r.vm == name).kill()
+            store.put(endpoint("e1", leaving=True))
+            store.configure(b"2")
+            seconds = await wait_for(fleet, lambda r: r.belief.view.get("e1").leaving)
+            assert seconds < DRAIN_SECONDS
+            assert await wait_for(fleet, lambda r: r.belief.version == 2) < 0.5
+
+
+async def test_a_router_that_the_store_turns_away_learns_from_the_others():
+    store = new_store()
+    async with spread_fleet(store, ROUTERS, decode) as fleet:
+        await asyncio.sleep(5)
+        store.away = {"r000", "r001", "r002"}
+        await asyncio.sleep(3)
+        store.put(endpoint("e1", leaving=True))
+        store.configure(b"2")
+        seconds = await wait_for(fleet, lambda r: r.belief.view.get("e1").leaving)
+        assert seconds < DRAIN_SECONDS
+        assert await wait_for(fleet, lambda r: r.belief.version == 2) < 0.5
+
+
+async def test_a_restarted_router_learns_from_a_neighbour_while_the_store_is_away():
+    """A process is killed during an outage of the store and starts empty.
+
+    It must not refuse everything until the store is back.
+    """
+    store = new_store()
+    async with spread_fleet(store, ROUTERS, decode) as fleet:
+        await asyncio.sleep(5)
+        store.away = {"*"}
+        fleet.routers[4].kill()
+        vm = fleet.routers[4].vm
+        fleet.start(vm, "z1", decode, ["r000:1"])
+        assert await wait_for(fleet, lambda r: r.belief.version == 1) < 1.0
+        await wait_for(fleet, lambda r: len(r.belief.view.of_service("books")) == 8)
+
+
+async def test_lost_datagrams_do_not_make_the_views_differ():
+    store = new_store()
+    async with spread_fleet(store, ROUTERS, decode) as fleet:
+        fleet.loss = 0.2
+        await asyncio.sleep(5)
+        for number in range(30):
+            store.put(endpoint(f"e{number % 8}", leaving=number % 2 == 0))
+            await asyncio.sleep(0.2)
+        await asyncio.sleep(3)
+        digests = {router.belief.view.digest for router in fleet.routers}
+        assert len(digests) == 1
+
+
+async def test_a_fleet_in_two_parts_goes_on_in_both():
+    store = new_store()
+    async with spread_fleet(store, ROUTERS, decode) as fleet:
+        await asyncio.sleep(5)
+        fleet.cut = lambda one, other: (one < "r004") != (other < "r004")
+        store.put(endpoint("e1", leaving=True))
+        seconds = await wait_for(fleet, lambda r: r.belief.view.get("e1").leaving)
+        assert seconds < DRAIN_SECONDS
--- /dev/null
+++ b/packages/standins/src/teaselledge_standins/routes.py
@@ -0,0 +1,183 @@
+"""Routes, endpoints and callers for tests of the serving path."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+from expression import Error, Ok, Result
+from teaselledge_fleet.connection.front import FrontServer
+from teaselledge_fleet.connection.pool import ConnectionPool
+from teaselledge_fleet.faults import Fault, FaultKind
+from teaselledge_fleet.process.budget import RepeatBudget
+from teaselledge_fleet.process.endpoints import Endpoint
+from teaselledge_fleet.request.owndialect import OwnDialect
+from teaselledge_fleet.request.serving import Journey, Outcome, Placement, Server
+from teaselledge_fleet.version.routes import (
+    Organisation,
+    Repeat,
+    Route,
+    Routing,
+    ServiceEntry,
+    Target,
+)
+
+__all__ = ["Answered", "InOrder", "ServedRoute", "ask", "make_route", "serving"]
+
+HOST = "books.example"
+
+
+def make_route(repeat: Repeat, stream: bool = False, **changes: object) -> Route:
+    """Return a route to the service ``books``."""
+    fields: dict[str, object] = {
+        "name": "r",
+        "host": HOST,
+        "prefix": "/r/",
+        "repeat": repeat,
+        "stream": stream,
+        "prompt": False,
+        "timeout": 5.0,
+        "objective": 0.5,
+        "max_pause": 0.4,
+        "attempts": 2,
+        "rank": 1,
+        "public": True,
+        "targets": (Target("books"),),
+    }
+    return Route(**{**fields, **changes})  # type: ignore[arg-type]
+
+
+def make_routing(route: Route, version: int = 1) -> Routing:
+    """Return a version with one route."""
+    return Routing(
+        version,
+        (route,),
+        {"books": ServiceEntry("books", "/healthz", 10)},
+        (Organisation("cellar", ("key-1",)),),
+    )
+
+
+@dataclass
+class InOrder:
+    """Places each attempt on the next of a list of endpoints."""
+
+    endpoints: list[Endpoint]
+    outcomes: list[Outcome] = field(default_factory=list)
+
+    async def place(self, journey: Journey) -> Result[Placement, Fault]:
+        """Return the first endpoint that was not tried."""
+        for endpoint in self.endpoints:
+            if endpoint.id not in journey.tried:
+                return Ok(Placement(endpoint))
+        return Error(Fault(FaultKind.NO_ENDPOINT, 0.5))
+
+    def began(self, journey: Journey, endpoint: Endpoint) -> None:
+        """Do nothing."""
+
+    def ended(self, journey: Journey, endpoint: Endpoint, outcome: Outcome) -> None:
+        """Note the outcome."""
+        self.outcomes.append(outcome)
+
+
+@dataclass
+class ServedRoute:
+    """A router's serving path that listens on loopback."""
+
+    server: Server
+    placer: InOrder
+    port: int
+
+
+@asynccontextmanager
+async def serving(route: Route, *addresses: str) -> AsyncIterator[ServedRoute]:
+    """Serve one route with endpoints at these addresses, named e1, e2, ..."""
+    endpoints = [
+        Endpoint(f"e{number}", "books", address, "north", 4)
+        for number, address in enumerate(addresses, 1)
+    ]
+    pool = ConnectionPool()
+    placer = InOrder(endpoints)
+    server = Server(OwnDialect(), pool, placer, RepeatBudget())
+    server.routing = make_routing(route)
+    front = FrontServer(server.serve, 1 << 16, 1 << 20, 15.0)
+    front.listen("127.0.0.1", 0)
+    port = front.ports[0]
+    try:
+        yield ServedRoute(server, placer, port)
+    finally:
+        front.stop()
+        await front.close()
+        pool.close()
+
+
+@dataclass(frozen=True)
+class Answered:
+    """What a caller saw.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status; 0 where none came.
+    headers : dict of str to str
+        Headers by lower-case name.
+    body : bytes
+        What came of the body, chunks joined.
+    whole : bool
+        Whether the answer's framing says that it is complete.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+async def ask(
+    port: int,
+    method: str = "GET",
+    headers: dict[str, str] | None = None,
+    body: bytes = b"",
+) -> Answered:
+    """Send a request on a new connection and read the answer to its end."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    fields = {"Host": HOST, "X-Request-Id": "q1", **(headers or {})}
+    if body:
+        fields["Content-Length"] = str(len(body))
+    lines = [f"{method} /r/1 HTTP/1.1"] + [f"{n}: {v}" for n, v in fields.items()]
+    writer.write("\r\n".join([*lines, "", ""]).encode() + body)
+    try:
+        return await _read_answer(reader)
+    finally:
+        writer.close()
+
+
+async def _read_answer(reader: asyncio.StreamReader) -> Answered:
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return Answered(0, {}, b"", False)
+    line, *rest = head.split("\r\n")
+    pairs = [item.split(":", 1) for item in rest if ":" in item]
+    headers = {name.strip().lower(): value.strip() for name, value in pairs}
+    status = int(line.split()[1])
+    if "content-length" in headers:
+        length = int(headers["content-length"])
+        try:
+            return Answered(status, headers, await reader.readexactly(length), True)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return Answered(status, headers, b"", False)
+    body, whole = await _read_chunks(reader)
+    return Answered(status, headers, body, whole)
+
+
+async def _read_chunks(reader: asyncio.StreamReader) -> tuple[bytes, bool]:
+    body = b""
+    try:
+        while True:
+            size = int(await reader.readuntil(b"\r\n"), 16)
+            chunk = await reader.readexactly(size + 2)
+            if size == 0:
+                return body, True
+            body += chunk[:-2]
+    except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+        return body, False
--- /dev/null
+++ b/packages/standins/src/teaselledge_standins/spreadfleet.py
@@ -0,0 +1,162 @@
+"""Routers that follow a store and tell one another, without sockets."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+from expression import Error, Ok, Result
+from teaselledge_fleet.connection.codec import (
+    decode_pulse,
+    decode_state,
+    encode_pulse,
+    encode_state,
+)
+from teaselledge_fleet.process.belief import Belief, Decode
+from teaselledge_fleet.process.following import StoreFollower
+from teaselledge_fleet.process.members import Member, Members, MemberState
+from teaselledge_fleet.process.spreading import Spreading
+from teaselledge_fleet.process.work import FleetWork
+from teaselledge_wire.gen.fleet.ttypes import (
+    EndpointWork,
+    OrganisationUse,
+    Pulse,
+    WholeState,
+)
+
+from teaselledge_standins.statestore import MemoryStateStore, StoreClient
+
+__all__ = ["SpreadFleet", "SpreadRouter", "spread_fleet"]
+
+
+class _Work:
+    """Work of a router that serves nothing."""
+
+    def __init__(self) -> None:
+        self.fleet = FleetWork()
+
+    def tell_work(self) -> list[EndpointWork]:
+        return self.fleet.tell()
+
+    def tell_uses(self) -> list[OrganisationUse]:
+        return []
+
+    def hear(
+        self, vm: str, work: list[EndpointWork], uses: list[OrganisationUse]
+    ) -> None:
+        self.fleet.hear(vm, work)
+
+
+@dataclass
+class SpreadRouter:
+    """One router's part that spreads state."""
+
+    vm: str
+    members: Members
+    belief: Belief
+    follower: StoreFollower
+    spreading: Spreading
+    tasks: list["asyncio.Task[None]"] = field(default_factory=list)
+    frozen: bool = False
+
+    def kill(self) -> None:
+        """End it without a word."""
+        self.frozen = True
+        for task in self.tasks:
+            task.cancel()
+
+
+class _Link:
+    """Carries a router's datagrams and fetches through the fleet."""
+
+    def __init__(self, fleet: "SpreadFleet", vm: str) -> None:
+        self._fleet = fleet
+        self._vm = vm
+        self.sent_bytes = 0
+
+    def send(self, address: str, pulse: Pulse) -> None:
+        data = encode_pulse(pulse)
+        self.sent_bytes += len(data)
+        self._fleet.carry(self._vm, address, data)
+
+    async def fetch(self, address: str) -> Result[WholeState, str]:
+        await asyncio.sleep(2 * self._fleet.delay)
+        router = self._fleet.by_address.get(address)
+        if router is None or router.frozen or self._fleet.cut(self._vm, router.vm):
+            return Error("unreachable")
+        data = encode_state(router.spreading.state())
+        return Ok(decode_state(data).ok)
+
+    def close(self) -> None:
+        pass
+
+
+@dataclass
+class SpreadFleet:
+    """Routers, their store, and the network between them.
+
+    Attributes
+    ----------
+    cut : callable
+        Whether nothing passes from one VM to another.
+    loss : float
+        Part of the datagrams that are lost.
+    """
+
+    store: MemoryStateStore
+    routers: list[SpreadRouter] = field(default_factory=list)
+    by_address: dict[str, SpreadRouter] = field(default_factory=dict)
+    delay: float = 0.02
+    loss: float = 0.0
+    cut: Callable[[str, str], bool] = lambda sender, receiver: False
+    chance: random.Random = field(default_factory=lambda: random.Random(1))
+
+    def carry(self, sender: str, address: str, data: bytes) -> None:
+        """Deliver a datagram after the delay."""
+        receiver = self.by_address.get(address)
+        if receiver is None or self.cut(sender, receiver.vm):
+            return
+        if self.chance.random() < self.loss:
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.delay, self._deliver, receiver, data)
+
+    def start(self, vm: str, zone: str, decode: Decode, seeds: list[str]) -> None:
+        """Start a router."""
+        address = f"{vm}:1"
+        own = Member(vm, self.chance.getrandbits(60), zone, zone, f"{vm}:2", address)
+        members = Members(own)
+        members.set_state(MemberState.READY)
+        belief = Belief(vm, decode)
+        spreading = Spreading(members, belief, seeds, _Work())
+        link = _Link(self, vm)
+        spreading._socket = link  # type: ignore[assignment]
+        spreading._client = link  # type: ignore[assignment]
+        follower = StoreFollower(vm, StoreClient(self.store, vm), belief)
+        router = SpreadRouter(vm, members, belief, follower, spreading)
+        router.tasks = [
+            asyncio.create_task(spreading.run()),
+            asyncio.create_task(follower.run()),
+        ]
+        self.routers = [r for r in self.routers if r.vm != vm] + [router]
+        self.by_address[address] = router
+
+    def _deliver(self, receiver: SpreadRouter, data: bytes) -> None:
+        if not receiver.frozen:
+            receiver.spreading._hear(decode_pulse(data).ok)
+
+
+@asynccontextmanager
+async def spread_fleet(store: MemoryStateStore, count: int, decode: Decode):
+    """Run so many routers, of which three are seeds."""
+    random.seed(count)
+    fleet = SpreadFleet(store)
+    seeds = [f"r{number:03}:1" for number in range(min(3, count))]
+    for number in range(count):
+        fleet.start(f"r{number:03}", f"z{number % 3}", decode, seeds)
+    try:
+        yield fleet
+    finally:
+        for router in fleet.routers:
+            router.kill()
--- /dev/null
+++ b/packages/standins/src/teaselledge_standins/statestore.py
@@ -0,0 +1,113 @@
+"""The platform's store in memory, as the routers' interface sees it."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from expression import Error, Ok, Result
+from teaselledge_fleet.process.endpoints import Endpoint, Entry
+from teaselledge_fleet.process.store import (
+    EndpointRows,
+    StoredConfiguration,
+    StoreFault,
+)
+
+__all__ = ["MemoryStateStore", "StoreClient"]
+
+POLL_SECONDS = 0.02
+
+
+@dataclass
+class MemoryStateStore:
+    """Rows and a revision counter.
+
+    Attributes
+    ----------
+    delay : float
+        Seconds that each call takes.
+    away : set of str
+        VMs whose calls get no answer; ``*`` stands for all.
+    calls : int
+        Calls so far, unanswered ones included.
+    """
+
+    delay: float = 0.01
+    away: set[str] = field(default_factory=set)
+    calls: int = 0
+    revision: int = 0
+    entries: dict[str, Entry] = field(default_factory=dict)
+    data: bytes | None = None
+    data_revision: int = 0
+    router_rows: dict[str, bytes] = field(default_factory=dict)
+
+    def put(self, endpoint: Endpoint) -> None:
+        """Write an endpoint's entry."""
+        self.revision += 1
+        self.entries[endpoint.id] = Entry(endpoint.id, self.revision, endpoint)
+
+    def drop(self, name: str) -> None:
+        """Remove an endpoint's entry."""
+        self.revision += 1
+        self.entries.pop(name, None)
+
+    def configure(self, data: bytes) -> None:
+        """Write the configuration."""
+        self.revision += 1
+        self.data, self.data_revision = data, self.revision
+
+
+class StoreClient:
+    """One router's access to the store."""
+
+    def __init__(self, store: MemoryStateStore, vm: str) -> None:
+        self._store = store
+        self._vm = vm
+
+    async def endpoints(self) -> Result[EndpointRows, StoreFault]:
+        """Read the entries of all endpoints."""
+        if not await self._reach():
+            return Error(StoreFault.UNREACHABLE)
+        store = self._store
+        return Ok(EndpointRows(store.revision, tuple(store.entries.values())))
+
+    async def configuration(
+        self, after: int, wait: float
+    ) -> Result[StoredConfiguration, StoreFault]:
+        """Read the configuration if it changed after a revision."""
+        if not await self._reach():
+            return Error(StoreFault.UNREACHABLE)
+        store = self._store
+        end = asyncio.get_running_loop().time() + wait
+        while store.data_revision <= after:
+            if asyncio.get_running_loop().time() >= end:
+                return Ok(StoredConfiguration(store.revision, None))
+            await asyncio.sleep(POLL_SECONDS)
+        return Ok(StoredConfiguration(store.revision, store.data))
+
+    async def routers(self) -> Result[dict[str, bytes], StoreFault]:
+        """Read what routers wrote of themselves."""
+        if not await self._reach():
+            return Error(StoreFault.UNREACHABLE)
+        return Ok(dict(self._store.router_rows))
+
+    async def put_router(self, vm: str, data: bytes) -> Result[None, StoreFault]:
+        """Write a router's row."""
+        if not await self._reach():
+            return Error(StoreFault.UNREACHABLE)
+        self._store.router_rows[vm] = data
+        return Ok(None)
+
+    async def drop_router(self, vm: str) -> Result[None, StoreFault]:
+        """Remove a router's row."""
+        if not await self._reach():
+            return Error(StoreFault.UNREACHABLE)
+        self._store.router_rows.pop(vm, None)
+        return Ok(None)
+
+    async def _reach(self) -> bool:
+        store = self._store
+        store.calls += 1
+        if store.away & {"*", self._vm}:
+            await asyncio.sleep(1.2)
+            return False
+        await asyncio.sleep(store.delay)
+        return True
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -209,7 +209,8 @@
 def main() -> int:
     """Run the modules whose identifier contains the first argument."""
     pattern = sys.argv[1] if len(sys.argv) > 1 else ""
-    paths = sorted(ROOT.glob("packages/*/tests/test_*.py"))
+    folders = [*ROOT.glob("packages/*/tests"), ROOT / "platform" / "tests"]
+    paths = sorted(path for folder in folders for path in folder.glob("test_*.py"))
     context = multiprocessing.get_context("spawn")
     with ProcessPoolExecutor(WORKERS, mp_context=context) as pool:
         runs = [pool.submit(run_module, path, pattern) for path in paths]
