--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -11,7 +11,8 @@
 from teaselledge_fleet.faults import Fault, FaultKind
 from teaselledge_fleet.process.distance import Distance
 from teaselledge_fleet.process.endpoints import Endpoint, EndpointView
-from teaselledge_fleet.process.forecast import EngineForecast, PlainForecast
+from teaselledge_fleet.process.forecast import PlainForecast, slot_wait
+from teaselledge_fleet.process.pacing import EnginePaces
 from teaselledge_fleet.process.parts import (
     PartPlaces,
     ranked,
@@ -20,7 +21,7 @@
 )
 from teaselledge_fleet.process.results import Results
 from teaselledge_fleet.process.shares import OrganisationShares
-from teaselledge_fleet.process.work import FleetWork, Work
+from teaselledge_fleet.process.work import FleetWork, key_of
 from teaselledge_fleet.request.call import Prompt
 from teaselledge_fleet.request.serving import Journey, Outcome, Placement
 
@@ -81,7 +82,6 @@
 @dataclass(frozen=True)
 class _Candidate:
     endpoint: Endpoint
-    work: Work
     unread: int
     wait: float
     cost: float
@@ -90,7 +90,6 @@
 
 @dataclass(frozen=True)
 class _Sent:
-    work: Work
     unread: int
     at: float
 
@@ -115,7 +114,7 @@
         self._shares = OrganisationShares()
         self._parts = PartPlaces()
         self._results = Results()
-        self._engines = EngineForecast()
+        self._paces = EnginePaces()
         self._plain = PlainForecast()
         self._sent: dict[tuple[str, str], _Sent] = {}
 
@@ -133,40 +132,38 @@
         if refusal is not None:
             return Error(refusal)
         self._begin(journey, best)
+        await self._turn(journey, best)
         return Ok(Placement(best.endpoint, best.fetch_from))
 
     def began(self, journey: Journey, endpoint: Endpoint) -> None:
         """Note the first part of an answer."""
         sent = self._sent.get((journey.call.id, endpoint.id))
-        if sent is None:
-            return
-        seconds = self._now() - sent.at
-        if journey.call.prompt is None:
-            self._plain.observe(endpoint.id, seconds)
-            return
-        self._work.own(endpoint.id).unread -= sent.unread
-        self._sent[journey.call.id, endpoint.id] = _Sent(sent.work, 0, sent.at)
-        self._engines.observe(
-            endpoint.id, sent.work, endpoint.slots, sent.unread, seconds
-        )
+        if sent is not None and journey.call.prompt is None:
+            self._plain.observe(endpoint.id, self._now() - sent.at)
 
     def ended(self, journey: Journey, endpoint: Endpoint, outcome: Outcome) -> None:
         """Note the end of an attempt."""
         sent = self._sent.pop((journey.call.id, endpoint.id), None)
         if sent is not None:
-            work = self._work.own(endpoint.id)
-            work.running -= 1
-            work.unread -= sent.unread
+            self._work.end(endpoint.id)
         if outcome is Outcome.UNSENT:
             self._results.note_unreached(endpoint.id)
+            if sent is not None:
+                self._paces.cancel(endpoint.id, sent.unread)
         elif outcome is Outcome.WHOLE:
             self._results.note(endpoint.id, True)
+            if journey.call.prompt is not None and journey.route.stream:
+                late = journey.longest_pause > journey.route.max_pause
+                self._paces.observe(endpoint.id, late)
         elif outcome in (Outcome.LOST, Outcome.FAILED, Outcome.BROKEN):
             self._results.note(endpoint.id, False)
 
     def tell_work(self) -> list[EndpointWork]:
         """Return what this router has under way."""
-        return self._work.tell()
+        return [
+            EndpointWork(key_of(name), running, self._paces.sent(name))
+            for name, running in self._work.own.items()
+        ]
 
     def tell_uses(self) -> list[OrganisationUse]:
         """Return what organisations received here."""
@@ -177,12 +174,15 @@
     ) -> None:
         """Take the same from another router."""
         self._work.hear(vm, work)
+        for entry in work:
+            self._paces.hear(vm, entry.endpoint, entry.sent or 0)
         self._shares.hear(vm, uses)
 
     def keep(self) -> None:
         """Forget endpoints that are gone."""
         names = {endpoint.id for endpoint in self._view.endpoints}
         self._work.keep(names)
+        self._paces.keep(names)
         self._results.keep(names)
 
     def _usable(self, journey: Journey) -> list[Endpoint]:
@@ -211,10 +211,10 @@
     def _plain_candidate(
         self, endpoint: Endpoint, journey: Journey, kilobytes: float
     ) -> _Candidate:
-        work = self._work.total(endpoint.id)
-        wait = self._plain.seconds(endpoint.id, work, endpoint.slots)
+        running = self._work.running(endpoint.id)
+        wait = self._plain.seconds(endpoint.id, running, endpoint.slots)
         cost = self._detour(endpoint, journey, kilobytes, wait)
-        return _Candidate(endpoint, work, 0, wait, cost + _tie_break(), None)
+        return _Candidate(endpoint, 0, wait, cost + _tie_break(), None)
 
     def _engine_candidate(
         self,
@@ -226,7 +226,6 @@
     ) -> _Candidate:
         prompt = journey.call.prompt
         assert prompt is not None
-        work = self._work.total(endpoint.id)
         unread = prompt.tokens
         extra, source = 0.0, None
         if part is not None:
@@ -239,12 +238,11 @@
             elif endpoint is order[0] and len(order) > 1:
                 # it may have become the first choice just now
                 source = order[1]
-        wait = self._engines.seconds(endpoint.id, work, endpoint.slots, 0)
+        running = self._work.running(endpoint.id)
+        wait = self._paces.wait(endpoint.id) + slot_wait(running, endpoint.slots)
         cost = extra + self._detour(endpoint, journey, kilobytes, wait)
         address = source.address if source is not None else None
-        return _Candidate(
-            endpoint, work, max(1, unread), wait, cost + _tie_break(), address
-        )
+        return _Candidate(endpoint, max(1, unread), wait, cost + _tie_break(), address)
 
     def _detour(
         self, endpoint: Endpoint, journey: Journey, kilobytes: float, wait: float
@@ -262,27 +260,37 @@
         over = self._shares.over(journey.owner, SHARE_MARGIN)
         part = WAIT_PART_OVER_SHARE if over else WAIT_PART
         waited = self._now() - journey.arrived
-        idle = self._engines.seconds(best.endpoint.id, Work(), best.endpoint.slots, 0)
-        if waited + best.wait - idle <= part * journey.route.objective:
+        if waited + best.wait <= part * journey.route.objective:
             return None
         kind = FaultKind.OVER_SHARE if over else FaultKind.OVER_CAPACITY
         return Fault(kind, random.uniform(RETRY_SOONEST, RETRY_LATEST))
 
     def _begin(self, journey: Journey, best: _Candidate) -> None:
-        own = self._work.own(best.endpoint.id)
-        own.running += 1
-        own.unread += best.unread
-        sent = _Sent(best.work, best.unread, self._now())
+        self._work.begin(best.endpoint.id)
+        sent = _Sent(best.unread, self._now())
         self._sent[journey.call.id, best.endpoint.id] = sent
         prompt = journey.call.prompt
         if prompt is None:
             return
+        self._paces.reserve(best.endpoint.id, best.unread)
         part = shared_part(prompt)
         if part is not None:
             self._parts.note(best.endpoint.id, part)
         if not journey.sends:
             self._shares.receive(journey.owner, _weight(prompt))
 
+    async def _turn(self, journey: Journey, best: _Candidate) -> None:
+        """Wait until the engine has read what was sent before."""
+        if best.wait <= 0 or journey.call.prompt is None:
+            return
+        try:
+            await asyncio.sleep(best.wait)
+        except asyncio.CancelledError:
+            # the caller left, or its time is over
+            self._paces.cancel(best.endpoint.id, best.unread)
+            self.ended(journey, best.endpoint, Outcome.ABANDONED)
+            raise
+
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
--- a/packages/fleet/src/teaselledge_fleet/request/serving.py
+++ b/packages/fleet/src/teaselledge_fleet/request/serving.py
@@ -85,6 +85,12 @@
         How often it was sent.
     may_have_run : bool
         Whether any attempt may have run.
+    begun : float or None
+        Loop time of the first event of a stream.
+    longest_pause : float
+        Longest time between two parts of a stream, in seconds.
+    version : int
+        Configuration under which it runs.
     """
 
     call: Call
@@ -98,6 +104,7 @@
     sends: int = 0
     may_have_run: bool = False
     begun: float | None = None
+    longest_pause: float = 0.0
     version: int = 0
 
     @property
@@ -220,7 +227,6 @@
         self._fault: Fault | None = None
         self._relayed = 0
         self._last_part: float | None = None
-        self._longest_pause = 0.0
 
     async def go(self) -> None:
         """Run the request to its end."""
@@ -377,7 +383,8 @@
     def _note_pause(self) -> None:
         now = asyncio.get_running_loop().time()
         if self._last_part is not None:
-            self._longest_pause = max(self._longest_pause, now - self._last_part)
+            pause = now - self._last_part
+            self._journey.longest_pause = max(self._journey.longest_pause, pause)
         self._last_part = now
 
     def _again(self, outcome: Outcome) -> bool:
@@ -442,7 +449,7 @@
             tried=journey.tried,
             sends=journey.sends,
             first_ms=first,
-            pause_ms=round(self._longest_pause * 1000),
+            pause_ms=round(journey.longest_pause * 1000),
             ms=round((now - journey.arrived) * 1000),
             left_ms=round((journey.deadline - now) * 1000),
         )
--- a/packages/standins/src/teaselledge_standins/spreadfleet.py
+++ b/packages/standins/src/teaselledge_standins/spreadfleet.py
@@ -37,7 +37,7 @@
         self.fleet = FleetWork()
 
     def tell_work(self) -> list[EndpointWork]:
-        return self.fleet.tell()
+        return []
 
     def tell_uses(self) -> list[OrganisationUse]:
         return []
--- a/packages/wire/fleet.thrift
+++ b/packages/wire/fleet.thrift
@@ -25,11 +25,12 @@
   9: optional i64 born,
 }
 
-// What the sender has under way at an endpoint.
+// What the sender has under way at an endpoint, and the prompt tokens that it has
+// sent there since it started.
 struct EndpointWork {
   1: i64 endpoint,
   2: i32 running,
-  3: i32 unread,
+  3: i64 sent,
 }
 
 // Tokens that an organisation received at the sender, and asked for, since the
