--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -12,7 +12,7 @@
 from teaselledge_fleet.process.distance import Distance
 from teaselledge_fleet.process.endpoints import Endpoint, EndpointView
 from teaselledge_fleet.process.forecast import PlainForecast, slot_wait
-from teaselledge_fleet.process.pacing import EnginePaces
+from teaselledge_fleet.process.pacing import EnginePaces, reading_seconds
 from teaselledge_fleet.process.parts import (
     PartPlaces,
     ranked,
@@ -69,6 +69,8 @@
 FAILING_SECONDS = 0.6
 """Detour that avoiding an endpoint whose every attempt fails is worth."""
 
+MICROSECONDS = 1_000_000
+
 ANSWER_BYTES_PER_TOKEN = 20
 RETRY_SOONEST = 0.3
 RETRY_LATEST = 1.2
@@ -82,7 +84,7 @@
 @dataclass(frozen=True)
 class _Candidate:
     endpoint: Endpoint
-    unread: int
+    reading: float
     wait: float
     cost: float
     fetch_from: str | None
@@ -90,7 +92,7 @@
 
 @dataclass(frozen=True)
 class _Sent:
-    unread: int
+    reading: float
     at: float
 
 
@@ -149,7 +151,7 @@
         if outcome is Outcome.UNSENT:
             self._results.note_unreached(endpoint.id)
             if sent is not None:
-                self._paces.cancel(endpoint.id, sent.unread)
+                self._paces.cancel(endpoint.id, sent.reading)
         elif outcome is Outcome.WHOLE:
             self._results.note(endpoint.id, True)
             if journey.call.prompt is not None and journey.route.stream:
@@ -161,7 +163,9 @@
     def tell_work(self) -> list[EndpointWork]:
         """Return what this router has under way."""
         return [
-            EndpointWork(key_of(name), running, self._paces.sent(name))
+            EndpointWork(
+                key_of(name), running, int(self._paces.sent(name) * MICROSECONDS)
+            )
             for name, running in self._work.own.items()
         ]
 
@@ -175,7 +179,7 @@
         """Take the same from another router."""
         self._work.hear(vm, work)
         for entry in work:
-            self._paces.hear(vm, entry.endpoint, entry.sent or 0)
+            self._paces.hear(vm, entry.endpoint, (entry.sent or 0) / MICROSECONDS)
         self._shares.hear(vm, uses)
 
     def keep(self) -> None:
@@ -267,12 +271,12 @@
 
     def _begin(self, journey: Journey, best: _Candidate) -> None:
         self._work.begin(best.endpoint.id)
-        sent = _Sent(best.unread, self._now())
+        sent = _Sent(best.reading, self._now())
         self._sent[journey.call.id, best.endpoint.id] = sent
         prompt = journey.call.prompt
         if prompt is None:
             return
-        self._paces.reserve(best.endpoint.id, best.unread)
+        self._paces.reserve(best.endpoint.id, best.reading)
         part = shared_part(prompt)
         if part is not None:
             self._parts.note(best.endpoint.id, part)
@@ -287,7 +291,7 @@
             await asyncio.sleep(best.wait)
         except asyncio.CancelledError:
             # the caller left, or its time is over
-            self._paces.cancel(best.endpoint.id, best.unread)
+            self._paces.cancel(best.endpoint.id, best.reading)
             self.ended(journey, best.endpoint, Outcome.ABANDONED)
             raise
 
--- a/packages/standins/src/teaselledge_standins/spreadfleet.py
+++ b/packages/standins/src/teaselledge_standins/spreadfleet.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
@@ -148,7 +148,9 @@
 
 
 @asynccontextmanager
-async def spread_fleet(store: MemoryStateStore, count: int, decode: Decode):
+async def spread_fleet(
+    store: MemoryStateStore, count: int, decode: Decode
+) -> AsyncIterator[SpreadFleet]:
     """Run so many routers, of which three are seeds."""
     random.seed(count)
     fleet = SpreadFleet(store)
--- a/packages/wire/fleet.thrift
+++ b/packages/wire/fleet.thrift
@@ -25,8 +25,8 @@
   9: optional i64 born,
 }
 
-// What the sender has under way at an endpoint, and the prompt tokens that it has
-// sent there since it started.
+// What the sender has under way at an endpoint, and the reading of prompts that
+// it has sent there since it started, in microseconds.
 struct EndpointWork {
   1: i64 endpoint,
   2: i32 running,
