--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -246,7 +246,13 @@
         wait = self._paces.wait(endpoint.id) + slot_wait(running, endpoint.slots)
         cost = extra + self._detour(endpoint, journey, kilobytes, wait)
         address = source.address if source is not None else None
-        return _Candidate(endpoint, max(1, unread), wait, cost + _tie_break(), address)
+        return _Candidate(
+            endpoint,
+            reading_seconds(prompt.tokens, unread),
+            wait,
+            cost + _tie_break(),
+            address,
+        )
 
     def _detour(
         self, endpoint: Endpoint, journey: Journey, kilobytes: float, wait: float
