--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -282,6 +282,7 @@
         prompt = journey.call.prompt
         if prompt is None:
             return
+        journey.reading = best.reading
         self._paces.reserve(best.endpoint.id, best.reading)
         part = shared_part(prompt)
         if part is not None:
--- a/packages/fleet/src/teaselledge_fleet/request/serving.py
+++ b/packages/fleet/src/teaselledge_fleet/request/serving.py
@@ -91,6 +91,8 @@
         Longest time between two parts of a stream, in seconds.
     version : int
         Configuration under which it runs.
+    reading : float
+        Time that the engine is expected to read its prompt, in seconds.
     """
 
     call: Call
@@ -106,6 +108,7 @@
     begun: float | None = None
     longest_pause: float = 0.0
     version: int = 0
+    reading: float = 0.0
 
     @property
     def owner(self) -> str:
@@ -447,6 +450,8 @@
             fault=self._fault.kind.value if self._fault is not None else None,
             endpoint=endpoint.id if endpoint is not None else None,
             tried=journey.tried,
+            prompt=journey.call.prompt.tokens if journey.call.prompt else None,
+            reading_ms=round(journey.reading * 1000),
             sends=journey.sends,
             first_ms=first,
             pause_ms=round(journey.longest_pause * 1000),
