--- a/packages/fleet/src/teaselledge_fleet/process/pacing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/pacing.py
@@ -15,7 +15,7 @@
 SECONDS_PER_PAIR = 4.4e-10
 """Besides, each token read looks back on all tokens before it."""
 
-START_DUTY = 0.7
+START_DUTY = 0.9
 """Part of an engine's time that is first given to reading prompts.
 
 A step that reads a chunk of 4,096 tokens takes 50 to 80 ms, and a step without one
--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -12,6 +12,7 @@
 from teaselledge_fleet.process.distance import Distance
 from teaselledge_fleet.process.endpoints import Endpoint, EndpointView
 from teaselledge_fleet.process.forecast import PlainForecast, slot_wait
+from teaselledge_fleet.process.lanes import LONG_SECONDS, Lanes
 from teaselledge_fleet.process.pacing import EnginePaces, reading_seconds
 from teaselledge_fleet.process.parts import (
     PartPlaces,
@@ -60,12 +61,20 @@
 """What a second of delay beyond that weighs besides."""
 
 FETCH_SECONDS = 0.0025
-FETCH_SECONDS_PER_TOKEN = 3.2e-5
-"""Price of having parts copied from another engine: 2.5 ms to set up and 4.5 us a
-token for the copy and its bill. The second copy also pushes as many tokens of other
-parts out of a memory that is always full, and most of them are read again, at 27 us.
+FETCH_SECONDS_PER_TOKEN = 4.5e-6
+"""Price of having parts copied from another engine: 2.5 ms to set up, 1.4 us a token
+on the engines' link of 740 Gbit/s, and 3.1 us for what the copy is billed."""
+
+CROWDING_SECONDS_PER_TOKEN = 2.7e-5
+"""Price of a second copy. It pushes as many tokens of other parts out of a memory
+that is always full; most are read again, at 13.5 us of an engine's time and as much
+for what is billed. Engines for long prompts keep copies in any case.
 """
 
+OFF_LANE_SECONDS = 0.25
+"""Price of a long prompt among streams that it holds up, and of a stream among long
+prompts: one or two requests that are late."""
+
 FAILING_SECONDS = 0.6
 """Detour that avoiding an endpoint whose every attempt fails is worth."""
 
@@ -90,6 +99,34 @@
     fetch_from: str | None
 
 
+@dataclass(frozen=True)
+class _Wish:
+    """What a request asks of an engine.
+
+    Attributes
+    ----------
+    part : str or None
+        The longest shared part of its prompt.
+    shared : int
+        Tokens up to the end of that part.
+    reading : float
+        Seconds in which an engine that keeps the part reads the rest.
+    kilobytes : float
+        Size of request and answer.
+    homes : list of Endpoint
+        Engines in the order in which they should keep the part.
+    in_lane : bool
+        Whether the engine is for prompts of this length.
+    """
+
+    part: str | None
+    shared: int
+    reading: float
+    kilobytes: float
+    homes: list[Endpoint]
+    in_lane: bool
+
+
 @dataclass(frozen=True)
 class _Sent:
     reading: float
@@ -118,6 +155,7 @@
         self._results = Results()
         self._paces = EnginePaces()
         self._plain = PlainForecast()
+        self._lanes = Lanes()
         self._sent: dict[tuple[str, str], _Sent] = {}
 
     async def place(self, journey: Journey) -> Result[Placement, Fault]:
@@ -154,7 +192,7 @@
                 self._paces.cancel(endpoint.id, sent.reading)
         elif outcome is Outcome.WHOLE:
             self._results.note(endpoint.id, True)
-            if journey.call.prompt is not None and journey.route.stream:
+            if journey.route.stream and 0 < journey.reading < LONG_SECONDS:
                 late = journey.longest_pause > journey.route.max_pause
                 self._paces.observe(endpoint.id, late)
         elif outcome in (Outcome.LOST, Outcome.FAILED, Outcome.BROKEN):
@@ -206,11 +244,7 @@
         if prompt is None:
             return [self._plain_candidate(e, journey, kilobytes) for e in endpoints]
         kilobytes += _output(prompt) * ANSWER_BYTES_PER_TOKEN / 1024
-        part = shared_part(prompt)
-        order = ranked(part, endpoints) if part is not None else endpoints
-        return [
-            self._engine_candidate(e, journey, part, order, kilobytes) for e in order
-        ]
+        return self._engine_candidates(journey, endpoints, kilobytes)
 
     def _plain_candidate(
         self, endpoint: Endpoint, journey: Journey, kilobytes: float
@@ -220,39 +254,49 @@
         cost = self._detour(endpoint, journey, kilobytes, wait)
         return _Candidate(endpoint, 0, wait, cost + _tie_break(), None)
 
-    def _engine_candidate(
-        self,
-        endpoint: Endpoint,
-        journey: Journey,
-        part: str | None,
-        order: list[Endpoint],
-        kilobytes: float,
-    ) -> _Candidate:
+    def _engine_candidates(
+        self, journey: Journey, endpoints: list[Endpoint], kilobytes: float
+    ) -> list[_Candidate]:
         prompt = journey.call.prompt
         assert prompt is not None
-        unread = prompt.tokens
-        extra, source = 0.0, None
-        if part is not None:
-            shared = shared_tokens(prompt)
-            unread -= shared
-            keeps = endpoint is order[0] or self._parts.keeps(endpoint.id, part)
-            if not keeps:
-                source = order[0]
-                extra = FETCH_SECONDS + shared * FETCH_SECONDS_PER_TOKEN
-            elif endpoint is order[0] and len(order) > 1:
-                # it may have become the first choice just now
-                source = order[1]
+        part = shared_part(prompt)
+        shared = shared_tokens(prompt) if part is not None else 0
+        reading = reading_seconds(prompt.tokens, prompt.tokens - shared)
+        split = self._lanes.split(endpoints)
+        lane = split.long if reading >= LONG_SECONDS else split.short
+        homes = ranked(part or journey.call.id, split.short)
+        order = ranked(part or journey.call.id, lane)
+        inside = {endpoint.id for endpoint in lane}
+        order += [e for e in endpoints if e.id not in inside]
+        return [
+            self._engine_candidate(
+                endpoint,
+                journey,
+                _Wish(part, shared, reading, kilobytes, homes, endpoint.id in inside),
+            )
+            for endpoint in order
+        ]
+
+    def _engine_candidate(
+        self, endpoint: Endpoint, journey: Journey, wish: _Wish
+    ) -> _Candidate:
+        extra = 0.0 if wish.in_lane else OFF_LANE_SECONDS
+        source = None
+        home = wish.homes[0]
+        if wish.part is not None and endpoint is not home:
+            if not self._parts.keeps(endpoint.id, wish.part):
+                extra += FETCH_SECONDS + wish.shared * FETCH_SECONDS_PER_TOKEN
+                if wish.reading < LONG_SECONDS or not wish.in_lane:
+                    extra += wish.shared * CROWDING_SECONDS_PER_TOKEN
+            source = home
+        elif wish.part is not None and len(wish.homes) > 1:
+            # it may have become the first choice just now
+            source = wish.homes[1]
         running = self._work.running(endpoint.id)
         wait = self._paces.wait(endpoint.id) + slot_wait(running, endpoint.slots)
-        cost = extra + self._detour(endpoint, journey, kilobytes, wait)
+        cost = extra + self._detour(endpoint, journey, wish.kilobytes, wait)
         address = source.address if source is not None else None
-        return _Candidate(
-            endpoint,
-            reading_seconds(prompt.tokens, unread),
-            wait,
-            cost + _tie_break(),
-            address,
-        )
+        return _Candidate(endpoint, wish.reading, wait, cost + _tie_break(), address)
 
     def _detour(
         self, endpoint: Endpoint, journey: Journey, kilobytes: float, wait: float
@@ -284,6 +328,7 @@
             return
         journey.reading = best.reading
         self._paces.reserve(best.endpoint.id, best.reading)
+        self._lanes.note(best.reading)
         part = shared_part(prompt)
         if part is not None:
             self._parts.note(best.endpoint.id, part)
