--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -12,7 +12,6 @@
 from teaselledge_fleet.process.distance import Distance
 from teaselledge_fleet.process.endpoints import Endpoint, EndpointView
 from teaselledge_fleet.process.forecast import PlainForecast, slot_wait
-from teaselledge_fleet.process.lanes import LONG_SECONDS, Lanes
 from teaselledge_fleet.process.pacing import EnginePaces, reading_seconds
 from teaselledge_fleet.process.parts import (
     PartPlaces,
@@ -61,19 +60,19 @@
 """What a second of delay beyond that weighs besides."""
 
 FETCH_SECONDS = 0.0025
-FETCH_SECONDS_PER_TOKEN = 4.5e-6
-"""Price of having parts copied from another engine: 2.5 ms to set up, 1.4 us a token
-on the engines' link of 740 Gbit/s, and 3.1 us for what the copy is billed."""
-
-CROWDING_SECONDS_PER_TOKEN = 2.7e-5
-"""Price of a second copy. It pushes as many tokens of other parts out of a memory
-that is always full; most are read again, at 13.5 us of an engine's time and as much
-for what is billed. Engines for long prompts keep copies in any case.
+COPY_SECONDS_PER_TOKEN = 3.2e-5
+"""Price of having parts copied from another engine: 2.5 ms to set up, and a token 1.4
+us on the engines' link of 740 Gbit/s and 3.1 us for what the copy is billed. The second
+copy also pushes as many tokens of other parts out of a memory that is always full,
+and most of them are read again, at 13.5 us of an engine's time and as much billed.
 """
 
-OFF_LANE_SECONDS = 0.25
-"""Price of a long prompt among streams that it holds up, and of a stream among long
-prompts: one or two requests that are late."""
+FULLNESS_SECONDS = 0.06
+"""Price of a place on an engine whose slots are all taken, against an empty one.
+
+Each running request makes the tokens of all others slower, by 0.2 ms of 12 ms. A
+prompt with little to share goes where few run; one with a long shared part stays.
+"""
 
 FAILING_SECONDS = 0.6
 """Detour that avoiding an endpoint whose every attempt fails is worth."""
@@ -115,8 +114,6 @@
         Size of request and answer.
     homes : list of Endpoint
         Engines in the order in which they should keep the part.
-    in_lane : bool
-        Whether the engine is for prompts of this length.
     """
 
     part: str | None
@@ -124,7 +121,6 @@
     reading: float
     kilobytes: float
     homes: list[Endpoint]
-    in_lane: bool
 
 
 @dataclass(frozen=True)
@@ -155,7 +151,6 @@
         self._results = Results()
         self._paces = EnginePaces()
         self._plain = PlainForecast()
-        self._lanes = Lanes()
         self._sent: dict[tuple[str, str], _Sent] = {}
 
     async def place(self, journey: Journey) -> Result[Placement, Fault]:
@@ -192,9 +187,6 @@
                 self._paces.cancel(endpoint.id, sent.reading)
         elif outcome is Outcome.WHOLE:
             self._results.note(endpoint.id, True)
-            if journey.route.stream and 0 < journey.reading < LONG_SECONDS:
-                late = journey.longest_pause > journey.route.max_pause
-                self._paces.observe(endpoint.id, late)
         elif outcome in (Outcome.LOST, Outcome.FAILED, Outcome.BROKEN):
             self._results.note(endpoint.id, False)
 
@@ -262,32 +254,18 @@
         part = shared_part(prompt)
         shared = shared_tokens(prompt) if part is not None else 0
         reading = reading_seconds(prompt.tokens, prompt.tokens - shared)
-        split = self._lanes.split(endpoints)
-        lane = split.long if reading >= LONG_SECONDS else split.short
-        homes = ranked(part or journey.call.id, split.short)
-        order = ranked(part or journey.call.id, lane)
-        inside = {endpoint.id for endpoint in lane}
-        order += [e for e in endpoints if e.id not in inside]
-        return [
-            self._engine_candidate(
-                endpoint,
-                journey,
-                _Wish(part, shared, reading, kilobytes, homes, endpoint.id in inside),
-            )
-            for endpoint in order
-        ]
+        homes = ranked(part or journey.call.id, endpoints)
+        wish = _Wish(part, shared, reading, kilobytes, homes)
+        return [self._engine_candidate(e, journey, wish) for e in homes]
 
     def _engine_candidate(
         self, endpoint: Endpoint, journey: Journey, wish: _Wish
     ) -> _Candidate:
-        extra = 0.0 if wish.in_lane else OFF_LANE_SECONDS
-        source = None
+        extra, source = 0.0, None
         home = wish.homes[0]
         if wish.part is not None and endpoint is not home:
             if not self._parts.keeps(endpoint.id, wish.part):
-                extra += FETCH_SECONDS + wish.shared * FETCH_SECONDS_PER_TOKEN
-                if wish.reading < LONG_SECONDS or not wish.in_lane:
-                    extra += wish.shared * CROWDING_SECONDS_PER_TOKEN
+                extra = FETCH_SECONDS + wish.shared * COPY_SECONDS_PER_TOKEN
             source = home
         elif wish.part is not None and len(wish.homes) > 1:
             # it may have become the first choice just now
@@ -295,6 +273,7 @@
         running = self._work.running(endpoint.id)
         wait = self._paces.wait(endpoint.id) + slot_wait(running, endpoint.slots)
         cost = extra + self._detour(endpoint, journey, wish.kilobytes, wait)
+        cost += FULLNESS_SECONDS * running / endpoint.slots
         address = source.address if source is not None else None
         return _Candidate(endpoint, wish.reading, wait, cost + _tie_break(), address)
 
@@ -328,7 +307,6 @@
             return
         journey.reading = best.reading
         self._paces.reserve(best.endpoint.id, best.reading)
-        self._lanes.note(best.reading)
         part = shared_part(prompt)
         if part is not None:
             self._parts.note(best.endpoint.id, part)
