--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -77,9 +77,6 @@
 FAILING_SECONDS = 0.6
 """Detour that avoiding an endpoint whose every attempt fails is worth."""
 
-FIRST_EVENT_SECONDS = 0.15
-"""From the last token of a prompt to the first event, on an engine with other work."""
-
 MICROSECONDS = 1_000_000
 
 ANSWER_BYTES_PER_TOKEN = 20
@@ -129,7 +126,6 @@
 @dataclass(frozen=True)
 class _Sent:
     reading: float
-    wait: float
     at: float
 
 
@@ -177,14 +173,8 @@
     def began(self, journey: Journey, endpoint: Endpoint) -> None:
         """Note the first part of an answer."""
         sent = self._sent.get((journey.call.id, endpoint.id))
-        if sent is None:
-            return
-        seconds = self._now() - sent.at
-        if journey.call.prompt is None:
-            self._plain.observe(endpoint.id, seconds)
-        elif journey.route.stream:
-            expected = sent.wait + sent.reading + FIRST_EVENT_SECONDS
-            self._results.note_first(endpoint.id, seconds - expected)
+        if sent is not None and journey.call.prompt is None:
+            self._plain.observe(endpoint.id, self._now() - sent.at)
 
     def ended(self, journey: Journey, endpoint: Endpoint, outcome: Outcome) -> None:
         """Note the end of an attempt."""
@@ -293,7 +283,6 @@
         """Return what delay, failures and bytes on the way cost, in seconds."""
         failing = self._results.failing(endpoint.id) * FAILING_SECONDS
         delay = wait + self._distance.seconds(endpoint.zone)
-        delay += self._results.slowness(endpoint.id)
         overrun = max(0.0, delay - EASY_PART * journey.route.objective)
         paid = self._distance.paid(endpoint.zone, kilobytes)
         return failing + paid + DELAY_WEIGHT * delay + OVERRUN_WEIGHT * overrun
@@ -311,7 +300,7 @@
 
     def _begin(self, journey: Journey, best: _Candidate) -> None:
         self._work.begin(best.endpoint.id)
-        sent = _Sent(best.reading, best.wait, self._now())
+        sent = _Sent(best.reading, self._now())
         self._sent[journey.call.id, best.endpoint.id] = sent
         prompt = journey.call.prompt
         if prompt is None:
--- a/packages/fleet/src/teaselledge_fleet/process/results.py
+++ b/packages/fleet/src/teaselledge_fleet/process/results.py
@@ -20,25 +20,6 @@
 """Pauses after an endpoint could not be connected to; they double."""
 
 
-SLOWNESS_SECONDS = 3.0
-"""Time after which a third of what was learnt of an engine's slowness remains.
-
-It is then tried again; an engine that is still slow shows it within one request.
-"""
-
-SLOWNESS_WEIGHT = 0.25
-"""Weight of the latest first event."""
-
-SLOWEST_SECONDS = 2.0
-"""A single first event counts as this late at most."""
-
-
-@dataclass
-class _Slowness:
-    seconds: float = 0.0
-    at: float = 0.0
-
-
 @dataclass
 class _Record:
     good: float = 0.0
@@ -56,7 +37,6 @@
 
     def __init__(self) -> None:
         self._records: defaultdict[str, _Record] = defaultdict(_Record)
-        self._slowness: defaultdict[str, _Slowness] = defaultdict(_Slowness)
 
     def note(self, endpoint: str, good: bool) -> None:
         """Note how an attempt ended."""
@@ -75,23 +55,6 @@
         record.avoid_until = self._now() + record.pause
         record.pause = min(UNREACHED_LONGEST, 2 * record.pause)
 
-    def note_first(self, endpoint: str, late: float) -> None:
-        """Note how much later than expected a first event came, in seconds."""
-        known = self._slowness[endpoint]
-        late = min(SLOWEST_SECONDS, max(0.0, late))
-        before = self.slowness(endpoint)
-        known.seconds = before + SLOWNESS_WEIGHT * (late - before)
-        known.at = self._now()
-
-    def slowness(self, endpoint: str) -> float:
-        """Return how much later than expected first events come, in seconds.
-
-        Load that other routers have not told of yet shows here, and engines that are
-        slow for a reason of their own.
-        """
-        known = self._slowness[endpoint]
-        return known.seconds * _left(self._now() - known.at, SLOWNESS_SECONDS)
-
     def failing(self, endpoint: str) -> float:
         """Return the part of the latest attempts that failed, from 0 to 1."""
         record = self._faded(endpoint)
@@ -106,14 +69,11 @@
         for name in list(self._records):
             if name not in endpoints:
                 del self._records[name]
-        for name in list(self._slowness):
-            if name not in endpoints:
-                del self._slowness[name]
 
     def _faded(self, endpoint: str) -> _Record:
         record = self._records[endpoint]
         now = self._now()
-        left = _left(now - record.at, MEMORY_SECONDS)
+        left = 3.0 ** (-(now - record.at) / MEMORY_SECONDS) if record.at else 0.0
         record.good *= left
         record.bad *= left
         record.at = now
@@ -121,8 +81,3 @@
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
-
-
-def _left(age: float, seconds: float) -> float:
-    """Return what is left of something, of which a third remains after some seconds."""
-    return 3.0 ** (-age / seconds)
