--- a/packages/fleet/src/teaselledge_fleet/process/forecast.py
+++ b/packages/fleet/src/teaselledge_fleet/process/forecast.py
@@ -2,7 +2,9 @@
 
 from collections import defaultdict
 
-__all__ = ["PlainForecast", "slot_wait"]
+from teaselledge_fleet.process.work import Work
+
+__all__ = ["PlainForecast", "engine_wait"]
 
 TURN_SECONDS = 0.05
 """Time in which a full engine ends one of its requests: 48 of them last 2.4 s."""
@@ -10,6 +12,9 @@
 FIRST_SECONDS = 0.025
 """Time that a plain service takes, until its answers tell."""
 
+READING_PART = 0.8
+"""Part of its time for which a busy engine reads; the rest goes into generating."""
+
 LEARNING = 0.1
 """Weight of the latest answer."""
 
@@ -17,9 +22,14 @@
 """A single answer counts as this at most, so that it can't shut an endpoint out."""
 
 
-def slot_wait(running: int, slots: int) -> float:
-    """Return how long a request waits for a slot of a model engine."""
-    return max(0, running + 1 - slots) * TURN_SECONDS
+def engine_wait(work: Work, slots: int) -> float:
+    """Return how long a request waits behind others at a model engine, in seconds.
+
+    Engines admit in order of arrival. A prompt counts until its answer begins, so an
+    engine that is slower than expected shows the longer wait by itself.
+    """
+    queued = max(0, work.running + 1 - slots)
+    return work.reading / READING_PART + queued * TURN_SECONDS
 
 
 class PlainForecast:
@@ -28,10 +38,10 @@
     def __init__(self) -> None:
         self._seconds: defaultdict[str, float] = defaultdict(lambda: FIRST_SECONDS)
 
-    def seconds(self, endpoint: str, running: int, slots: int) -> float:
+    def seconds(self, endpoint: str, work: Work, slots: int) -> float:
         """Return the time to the answer."""
         service = self._seconds[endpoint]
-        queued = max(0, running + 1 - slots)
+        queued = max(0, work.running + 1 - slots)
         return service * (1 + queued / slots)
 
     def observe(self, endpoint: str, seconds: float) -> None:
--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -11,17 +11,17 @@
 from teaselledge_fleet.faults import Fault, FaultKind
 from teaselledge_fleet.process.distance import Distance
 from teaselledge_fleet.process.endpoints import Endpoint, EndpointView
-from teaselledge_fleet.process.forecast import PlainForecast, slot_wait
-from teaselledge_fleet.process.pacing import EnginePaces, reading_seconds
+from teaselledge_fleet.process.forecast import PlainForecast, engine_wait
 from teaselledge_fleet.process.parts import (
     PartPlaces,
     ranked,
     shared_part,
     shared_tokens,
 )
+from teaselledge_fleet.process.reading import reading_seconds
 from teaselledge_fleet.process.results import Results
 from teaselledge_fleet.process.shares import OrganisationShares
-from teaselledge_fleet.process.work import FleetWork, key_of
+from teaselledge_fleet.process.work import FleetWork
 from teaselledge_fleet.request.call import Prompt
 from teaselledge_fleet.request.serving import Journey, Outcome, Placement
 
@@ -77,8 +77,6 @@
 FAILING_SECONDS = 0.6
 """Detour that avoiding an endpoint whose every attempt fails is worth."""
 
-MICROSECONDS = 1_000_000
-
 ANSWER_BYTES_PER_TOKEN = 20
 RETRY_SOONEST = 0.3
 RETRY_LATEST = 1.2
@@ -149,7 +147,6 @@
         self._shares = OrganisationShares()
         self._parts = PartPlaces()
         self._results = Results()
-        self._paces = EnginePaces()
         self._plain = PlainForecast()
         self._sent: dict[tuple[str, str], _Sent] = {}
 
@@ -167,24 +164,28 @@
         if refusal is not None:
             return Error(refusal)
         self._begin(journey, best)
-        await self._turn(journey, best)
         return Ok(Placement(best.endpoint, best.fetch_from))
 
     def began(self, journey: Journey, endpoint: Endpoint) -> None:
         """Note the first part of an answer."""
-        sent = self._sent.get((journey.call.id, endpoint.id))
-        if sent is not None and journey.call.prompt is None:
+        key = (journey.call.id, endpoint.id)
+        sent = self._sent.get(key)
+        if sent is None:
+            return
+        if journey.call.prompt is None:
             self._plain.observe(endpoint.id, self._now() - sent.at)
+        self._work.own(endpoint.id).reading -= sent.reading
+        self._sent[key] = _Sent(0.0, sent.at)
 
     def ended(self, journey: Journey, endpoint: Endpoint, outcome: Outcome) -> None:
         """Note the end of an attempt."""
         sent = self._sent.pop((journey.call.id, endpoint.id), None)
         if sent is not None:
-            self._work.end(endpoint.id)
+            work = self._work.own(endpoint.id)
+            work.running -= 1
+            work.reading -= sent.reading
         if outcome is Outcome.UNSENT:
             self._results.note_unreached(endpoint.id)
-            if sent is not None:
-                self._paces.cancel(endpoint.id, sent.reading)
         elif outcome is Outcome.WHOLE:
             self._results.note(endpoint.id, True)
         elif outcome in (Outcome.LOST, Outcome.FAILED, Outcome.BROKEN):
@@ -192,12 +193,7 @@
 
     def tell_work(self) -> list[EndpointWork]:
         """Return what this router has under way."""
-        return [
-            EndpointWork(
-                key_of(name), running, int(self._paces.sent(name) * MICROSECONDS)
-            )
-            for name, running in self._work.own.items()
-        ]
+        return self._work.tell()
 
     def tell_uses(self) -> list[OrganisationUse]:
         """Return what organisations received here."""
@@ -208,15 +204,12 @@
     ) -> None:
         """Take the same from another router."""
         self._work.hear(vm, work)
-        for entry in work:
-            self._paces.hear(vm, entry.endpoint, (entry.sent or 0) / MICROSECONDS)
         self._shares.hear(vm, uses)
 
     def keep(self) -> None:
         """Forget endpoints that are gone."""
         names = {endpoint.id for endpoint in self._view.endpoints}
         self._work.keep(names)
-        self._paces.keep(names)
         self._results.keep(names)
 
     def _usable(self, journey: Journey) -> list[Endpoint]:
@@ -241,8 +234,8 @@
     def _plain_candidate(
         self, endpoint: Endpoint, journey: Journey, kilobytes: float
     ) -> _Candidate:
-        running = self._work.running(endpoint.id)
-        wait = self._plain.seconds(endpoint.id, running, endpoint.slots)
+        work = self._work.total(endpoint.id)
+        wait = self._plain.seconds(endpoint.id, work, endpoint.slots)
         cost = self._detour(endpoint, journey, kilobytes, wait)
         return _Candidate(endpoint, 0, wait, cost + _tie_break(), None)
 
@@ -270,10 +263,10 @@
         elif wish.part is not None and len(wish.homes) > 1:
             # it may have become the first choice just now
             source = wish.homes[1]
-        running = self._work.running(endpoint.id)
-        wait = self._paces.wait(endpoint.id) + slot_wait(running, endpoint.slots)
+        work = self._work.total(endpoint.id)
+        wait = engine_wait(work, endpoint.slots)
         cost = extra + self._detour(endpoint, journey, wish.kilobytes, wait)
-        cost += FULLNESS_SECONDS * running / endpoint.slots
+        cost += FULLNESS_SECONDS * work.running / endpoint.slots
         address = source.address if source is not None else None
         return _Candidate(endpoint, wish.reading, wait, cost + _tie_break(), address)
 
@@ -299,32 +292,21 @@
         return Fault(kind, random.uniform(RETRY_SOONEST, RETRY_LATEST))
 
     def _begin(self, journey: Journey, best: _Candidate) -> None:
-        self._work.begin(best.endpoint.id)
+        work = self._work.own(best.endpoint.id)
+        work.running += 1
+        work.reading += best.reading
         sent = _Sent(best.reading, self._now())
         self._sent[journey.call.id, best.endpoint.id] = sent
         prompt = journey.call.prompt
         if prompt is None:
             return
         journey.reading = best.reading
-        self._paces.reserve(best.endpoint.id, best.reading)
         part = shared_part(prompt)
         if part is not None:
             self._parts.note(best.endpoint.id, part)
         if not journey.sends:
             self._shares.receive(journey.owner, _weight(prompt))
 
-    async def _turn(self, journey: Journey, best: _Candidate) -> None:
-        """Wait until the engine has read what was sent before."""
-        if best.wait <= 0 or journey.call.prompt is None:
-            return
-        try:
-            await asyncio.sleep(best.wait)
-        except asyncio.CancelledError:
-            # the caller left, or its time is over
-            self._paces.cancel(best.endpoint.id, best.reading)
-            self.ended(journey, best.endpoint, Outcome.ABANDONED)
-            raise
-
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
--- a/packages/wire/fleet.thrift
+++ b/packages/wire/fleet.thrift
@@ -25,12 +25,12 @@
   9: optional i64 born,
 }
 
-// What the sender has under way at an endpoint, and the reading of prompts that
-// it has sent there since it started, in microseconds.
+// What the sender has under way at an endpoint; the reading of prompts whose answers
+// have not begun is in microseconds.
 struct EndpointWork {
   1: i64 endpoint,
   2: i32 running,
-  3: i64 sent,
+  3: i64 reading,
 }
 
 // Tokens that an organisation received at the sender, and asked for, since the
--- a/packages/wire/src/teaselledge_wire/gen/fleet/ttypes.py
+++ b/packages/wire/src/teaselledge_wire/gen/fleet/ttypes.py
@@ -325,21 +325,21 @@
     Attributes:
      - endpoint
      - running
-     - sent
+     - reading
 
     """
 
     __slots__ = (
         'endpoint',
         'running',
-        'sent',
+        'reading',
     )
 
 
-    def __init__(self, endpoint=None, running=None, sent=None,):
+    def __init__(self, endpoint=None, running=None, reading=None,):
         self.endpoint = endpoint
         self.running = running
-        self.sent = sent
+        self.reading = reading
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -362,7 +362,7 @@
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.I64:
-                    self.sent = iprot.readI64()
+                    self.reading = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             else:
@@ -383,9 +383,9 @@
             oprot.writeFieldBegin('running', TType.I32, 2)
             oprot.writeI32(self.running)
             oprot.writeFieldEnd()
-        if self.sent is not None:
-            oprot.writeFieldBegin('sent', TType.I64, 3)
-            oprot.writeI64(self.sent)
+        if self.reading is not None:
+            oprot.writeFieldBegin('reading', TType.I64, 3)
+            oprot.writeI64(self.reading)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -927,7 +927,7 @@
     None,  # 0
     (1, TType.I64, 'endpoint', None, None, ),  # 1
     (2, TType.I32, 'running', None, None, ),  # 2
-    (3, TType.I64, 'sent', None, None, ),  # 3
+    (3, TType.I64, 'reading', None, None, ),  # 3
 )
 all_structs.append(OrganisationUse)
 OrganisationUse.thrift_spec = (
