Tell zones, not all routers, in fleets of more than 12

Use of organisations is told as sums of a window, so that sums of zones need no counters that only grow.

--- /dev/null
+++ b/packages/fleet/src/teaselledge_fleet/connection/figures.py
@@ -0,0 +1,63 @@
+"""Work and use as packed figures, so that those of a large fleet fit a datagram."""
+
+import struct
+
+from teaselledge_fleet.process.shares import Use
+from teaselledge_fleet.process.work import Work
+
+__all__ = ["pack_uses", "pack_work", "unpack_uses", "unpack_work"]
+
+WORK = struct.Struct("!IHH")
+"""Endpoint, requests, and reading in milliseconds."""
+
+USE = struct.Struct("!III")
+"""Organisation, and tokens asked for and received."""
+
+MILLISECONDS = 1000
+SHORT = 0xFFFF
+LONG = 0xFFFFFFFF
+MOST_BYTES = 1000
+"""Figures beyond this are left out, the smallest first, so that a datagram is whole."""
+
+
+def pack_work(work: dict[int, Work]) -> bytes:
+    """Return the work at endpoints as bytes."""
+    rows = sorted(work.items(), key=lambda item: -item[1].running)
+    rows = rows[: MOST_BYTES // WORK.size]
+    return b"".join(
+        WORK.pack(
+            key, _cut(each.running, SHORT), _cut(each.reading * MILLISECONDS, SHORT)
+        )
+        for key, each in rows
+    )
+
+
+def unpack_work(data: bytes) -> dict[int, Work]:
+    """Return the work that bytes tell of; what does not fit is ignored."""
+    whole = data[: len(data) - len(data) % WORK.size]
+    return {
+        key: Work(running, reading / MILLISECONDS)
+        for key, running, reading in WORK.iter_unpack(whole)
+    }
+
+
+def pack_uses(uses: dict[int, Use]) -> bytes:
+    """Return the use of organisations as bytes."""
+    rows = sorted(uses.items(), key=lambda item: -item[1].asked)
+    rows = rows[: MOST_BYTES // USE.size]
+    return b"".join(
+        USE.pack(key, _cut(use.asked, LONG), _cut(use.received, LONG))
+        for key, use in rows
+    )
+
+
+def unpack_uses(data: bytes) -> dict[int, Use]:
+    """Return the use that bytes tell of; what does not fit is ignored."""
+    whole = data[: len(data) - len(data) % USE.size]
+    return {
+        key: Use(asked, received) for key, asked, received in USE.iter_unpack(whole)
+    }
+
+
+def _cut(number: float, most: int) -> int:
+    return max(0, min(int(number), most))
--- a/packages/fleet/src/teaselledge_fleet/process/belief.py
+++ b/packages/fleet/src/teaselledge_fleet/process/belief.py
@@ -65,6 +65,11 @@
         """Version of the configuration in force, 0 without one."""
         return self.routing.version if self.routing is not None else 0
 
+    @property
+    def as_of(self) -> float | None:
+        """Loop time at which the endpoints were known to be as they are believed."""
+        return self._as_of
+
     @property
     def age(self) -> float | None:
         """Seconds since the endpoints were known to be as they are believed."""
@@ -102,6 +107,7 @@
                 news.append(Entry(entry.id, max(revision, entry.revision + 1), None))
         self._merge(news, "store")
         self.follower = self._vm
+        self._tell()
 
     def take_news(self, entries: Iterable[Entry], source: str) -> None:
         """Take entries that another router tells of."""
--- a/packages/fleet/src/teaselledge_fleet/process/members.py
+++ b/packages/fleet/src/teaselledge_fleet/process/members.py
@@ -8,14 +8,18 @@
 
 __all__ = ["Member", "MemberState", "Members"]
 
-SILENT_SECONDS = 0.9
+SILENT_SECONDS = 1.0
 """Silence after which callers are not sent to a router.
 
-Pulses come every 0.25 s, so three in a row must be lost; at 3 % loss that is one in
-30,000, and costs some callers a new connection. A VM without power makes each caller
-that still connects to it wait a second.
+Pulses come every 0.25 to 0.4 s, so two or three in a row must be lost; at 3 % loss
+that is at most one in 1,000, and costs some callers a new connection. A VM without
+power makes each caller that still connects to it wait a second.
 """
 
+HINT_SECONDS = 3.0
+"""The same for routers of other zones, of which only rumours tell. Callers are sent
+to them only where their own zone has too few."""
+
 FORGET_SECONDS = 30.0
 """Silence after which a router is forgotten, unless it is heard of again."""
 
@@ -127,7 +131,13 @@
     @property
     def ready(self) -> list[Member]:
         """Routers that take requests, this one included where it does."""
-        everyone = [*self.answering, self._own]
+        now = self._now()
+        others = [
+            known.member
+            for known in self._known.values()
+            if now - known.heard <= (SILENT_SECONDS if known.direct else HINT_SECONDS)
+        ]
+        everyone = [*others, self._own]
         return [m for m in everyone if m.state is MemberState.READY]
 
     def set_state(self, state: MemberState) -> None:
@@ -144,12 +154,17 @@
 
     def rumour(self, member: Member) -> bool:
         """Take what another router says of one; True where it was unknown."""
-        if member.vm == self._own.vm or member.vm in self._known:
+        if member.vm == self._own.vm or member.state is MemberState.LEAVING:
+            return False
+        now = self._now()
+        known = self._known.get(member.vm)
+        if known is not None and known.direct and now - known.heard < HINT_SECONDS:
             return False
-        if member.state is MemberState.LEAVING:
+        if known is not None and known.member.incarnation != member.incarnation:
+            # of two lives only the router itself can tell which is the later
             return False
-        self._known[member.vm] = _Known(member, self._now(), False)
-        return True
+        self._known[member.vm] = _Known(member, now, False)
+        return known is None
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 
 from expression import Error, Ok, Result
-from teaselledge_wire.gen.fleet.ttypes import EndpointWork, OrganisationUse
 
 from teaselledge_fleet.faults import Fault, FaultKind
 from teaselledge_fleet.process.distance import Distance
@@ -191,20 +190,15 @@
         elif outcome in (Outcome.LOST, Outcome.FAILED, Outcome.BROKEN):
             self._results.note(endpoint.id, False)
 
-    def tell_work(self) -> list[EndpointWork]:
-        """Return what this router has under way."""
-        return self._work.tell()
+    @property
+    def work(self) -> FleetWork:
+        """What the fleet has under way, as far as it is told."""
+        return self._work
 
-    def tell_uses(self) -> list[OrganisationUse]:
-        """Return what organisations received here."""
-        return self._shares.tell()
-
-    def hear(
-        self, vm: str, work: list[EndpointWork], uses: list[OrganisationUse]
-    ) -> None:
-        """Take the same from another router."""
-        self._work.hear(vm, work)
-        self._shares.hear(vm, uses)
+    @property
+    def shares(self) -> OrganisationShares:
+        """What organisations received, as far as it is told."""
+        return self._shares
 
     def keep(self) -> None:
         """Forget endpoints that are gone."""
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -105,7 +105,11 @@
         self._follower = StoreFollower(place.vm, store, self._belief)
         self._registration = Registration(store, self._members)
         self._spreading = Spreading(
-            self._members, self._belief, settings.seeds, self._placer
+            self._members,
+            self._belief,
+            settings.seeds,
+            self._placer.work,
+            self._placer.shares,
         )
         self._spreading.on_members = self._note_members
         self._leaving = Leaving(settings.grace_seconds, self._front, self._server)
--- a/packages/fleet/src/teaselledge_fleet/process/shares.py
+++ b/packages/fleet/src/teaselledge_fleet/process/shares.py
@@ -2,18 +2,19 @@
 
 import asyncio
 from collections import defaultdict, deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from teaselledge_wire.gen.fleet.ttypes import OrganisationUse
-
 from teaselledge_fleet.process.work import key_of
 
-__all__ = ["OrganisationShares", "fair_level"]
+__all__ = ["OrganisationShares", "Use", "fair_level"]
 
 WINDOW_SECONDS = 4.0
 """Time over which use is counted; shares are owed over windows of 4 s."""
 
+FORGET_SECONDS = 2.0
+"""Time after which what a silent source told counts no more."""
+
 SLICE_SECONDS = 0.5
 """A window is made of slices, so that it moves on without keeping each request."""
 
@@ -43,6 +44,23 @@
     return float("inf")
 
 
+@dataclass(frozen=True)
+class Use:
+    """Tokens within the last window.
+
+    Attributes
+    ----------
+    asked, received : int
+        Of requests that came, and of those that were sent to an engine.
+    """
+
+    asked: int = 0
+    received: int = 0
+
+    def __add__(self, other: "Use") -> "Use":
+        return Use(self.asked + other.asked, self.received + other.received)
+
+
 @dataclass
 class _Counter:
     asked: int = 0
@@ -51,53 +69,55 @@
 
 @dataclass
 class _Window:
-    """Differences of a pair of growing counters over the last slices."""
+    """Growth of a pair of counters over the last slices."""
 
     marks: deque[tuple[float, int, int]] = field(default_factory=deque)
 
-    def mark(self, now: float, asked: int, received: int) -> None:
+    def mark(self, now: float, counter: _Counter) -> None:
         """Note the counters."""
-        if self.marks and (asked < self.marks[-1][1] or received < self.marks[-1][2]):
-            # the other router has started anew
-            self.marks.clear()
         if self.marks and now - self.marks[-1][0] < SLICE_SECONDS:
-            self.marks[-1] = (self.marks[-1][0], asked, received)
-        else:
-            self.marks.append((now, asked, received))
-        while len(self.marks) > 1 and now - self.marks[1][0] > WINDOW_SECONDS:
+            return
+        self.marks.append((now, counter.asked, counter.received))
+        while len(self.marks) > 1 and now - self.marks[1][0] >= WINDOW_SECONDS:
             self.marks.popleft()
 
-    def growth(self, now: float) -> tuple[int, int]:
+    def growth(self, counter: _Counter) -> Use:
         """Return how far the counters grew within the window."""
-        inside = [m for m in self.marks if now - m[0] <= WINDOW_SECONDS + SLICE_SECONDS]
-        if len(inside) < 2:  # noqa: PLR2004
-            return (0, 0)
-        first, last = inside[0], inside[-1]
-        return (last[1] - first[1], last[2] - first[2])
+        if not self.marks:
+            return Use(counter.asked, counter.received)
+        _, asked, received = self.marks[0]
+        return Use(counter.asked - asked, counter.received - received)
+
+
+@dataclass(frozen=True)
+class _Told:
+    at: float
+    uses: dict[int, Use]
 
 
 class OrganisationShares:
     """Counts what organisations ask for and receive over the whole fleet.
 
-    Every router tells growing counters, so a lost pulse does no harm: the next one
-    makes up for it.
+    Every source tells its use within the last window, so a lost pulse does no harm:
+    the next one replaces it.
     """
 
     def __init__(self) -> None:
-        self._own: defaultdict[int, _Counter] = defaultdict(_Counter)
-        self._windows: defaultdict[tuple[str, int], _Window] = defaultdict(_Window)
+        self._counters: defaultdict[int, _Counter] = defaultdict(_Counter)
+        self._windows: defaultdict[int, _Window] = defaultdict(_Window)
+        self._told: dict[str, _Told] = {}
         self._names: dict[str, int] = {}
         self._level = float("inf")
-        self._received: dict[int, float] = {}
-        self._levelled_at = -1.0
+        self._fleet: dict[int, Use] = {}
+        self._levelled_at = -SLICE_SECONDS
 
     def ask(self, organisation: str, tokens: int) -> None:
         """Count a request that arrives."""
-        self._note(organisation).asked += tokens
+        self._counter(organisation).asked += tokens
 
     def receive(self, organisation: str, tokens: int) -> None:
         """Count a request that is sent to an engine."""
-        self._note(organisation).received += tokens
+        self._counter(organisation).received += tokens
 
     def over(self, organisation: str, margin: float) -> bool:
         """Whether an organisation received more than its fair share by a factor.
@@ -105,49 +125,55 @@
         False while all demands fit.
         """
         self._refresh()
-        received = self._received.get(self._key(organisation), 0.0)
-        return received > self._level * margin
-
-    def tell(self) -> list[OrganisationUse]:
-        """Return this router's counters, for the others."""
-        return [
-            OrganisationUse(key, counter.received, counter.asked)
-            for key, counter in self._own.items()
-        ]
-
-    def hear(self, vm: str, uses: Iterable[OrganisationUse]) -> None:
-        """Take another router's counters."""
+        use = self._fleet.get(self._key(organisation), Use())
+        return use.received > self._level * margin
+
+    def own(self) -> dict[int, Use]:
+        """Return this router's use by organisation."""
         now = self._now()
-        for use in uses:
-            window = self._windows[vm, use.organisation]
-            window.mark(now, use.asked or 0, use.received or 0)
+        found = {}
+        for key, counter in self._counters.items():
+            window = self._windows[key]
+            window.mark(now, counter)
+            use = window.growth(counter)
+            if use.asked or use.received:
+                found[key] = use
+        return found
+
+    def from_sources(self, sources: Iterable[str]) -> dict[int, Use]:
+        """Return the sum of what some sources told lately."""
+        oldest = self._now() - FORGET_SECONDS
+        total: defaultdict[int, Use] = defaultdict(Use)
+        for source in sources:
+            told = self._told.get(source)
+            if told is None or told.at < oldest:
+                continue
+            for key, use in told.uses.items():
+                total[key] += use
+        return dict(total)
+
+    def hear(self, source: str, uses: dict[int, Use]) -> None:
+        """Take the use that a source tells of."""
+        self._told[source] = _Told(self._now(), uses)
 
     def _refresh(self) -> None:
         now = self._now()
         if now - self._levelled_at < SLICE_SECONDS / 2:
             return
         self._levelled_at = now
-        for key, counter in self._own.items():
-            self._windows["", key].mark(now, counter.asked, counter.received)
-        asked, received = self._sums(now)
-        self._received = received
-        self._level = fair_level(asked.values(), sum(received.values()))
-
-    def _sums(self, now: float) -> tuple[Mapping[int, float], dict[int, float]]:
-        asked: defaultdict[int, float] = defaultdict(float)
-        received: defaultdict[int, float] = defaultdict(float)
-        for (vm, key), window in list(self._windows.items()):
-            grown_asked, grown_received = window.growth(now)
-            if not grown_asked and not grown_received and vm:
-                if now - window.marks[-1][0] > 2 * WINDOW_SECONDS:
-                    del self._windows[vm, key]
-                continue
-            asked[key] += grown_asked
-            received[key] += grown_received
-        return asked, dict(received)
-
-    def _note(self, organisation: str) -> _Counter:
-        return self._own[self._key(organisation)]
+        fleet: defaultdict[int, Use] = defaultdict(Use, self.own())
+        for key, use in self.from_sources(list(self._told)).items():
+            fleet[key] += use
+        self._fleet = dict(fleet)
+        capacity = sum(use.received for use in fleet.values())
+        self._level = fair_level([use.asked for use in fleet.values()], capacity)
+
+    def _counter(self, organisation: str) -> _Counter:
+        key = self._key(organisation)
+        if key not in self._windows:
+            # before its first tokens, so that they count as growth
+            self._windows[key].mark(self._now(), self._counters[key])
+        return self._counters[key]
 
     def _key(self, organisation: str) -> int:
         key = self._names.get(organisation)
--- a/packages/fleet/src/teaselledge_fleet/process/spreading.py
+++ b/packages/fleet/src/teaselledge_fleet/process/spreading.py
@@ -3,24 +3,26 @@
 import asyncio
 import random
 from collections.abc import Callable, Iterable
-from typing import Protocol
-
-from teaselledge_wire.gen.fleet.ttypes import (
-    EndpointState,
-    EndpointWork,
-    OrganisationUse,
-    Pulse,
-    WholeState,
-)
+
+from teaselledge_wire.gen.fleet.ttypes import EndpointState, Pulse, WholeState
 
 from teaselledge_fleet.connection.codec import PROTOCOL
+from teaselledge_fleet.connection.figures import (
+    pack_uses,
+    pack_work,
+    unpack_uses,
+    unpack_work,
+)
 from teaselledge_fleet.connection.peers import PeerSocket, StateClient
 from teaselledge_fleet.log import get_log
 from teaselledge_fleet.process.belief import Belief
 from teaselledge_fleet.process.endpoints import Endpoint, Entry
 from teaselledge_fleet.process.members import Member, Members
+from teaselledge_fleet.process.shares import OrganisationShares, Use
+from teaselledge_fleet.process.topology import Scope, Topology
+from teaselledge_fleet.process.work import FleetWork, Work
 
-__all__ = ["SharedWork", "Spreading"]
+__all__ = ["Spreading"]
 
 _log = get_log("peers")
 
@@ -38,26 +40,26 @@
 REPEATED = 3
 """Pulses in which a change is told, against losses."""
 
-RUMOURS = 3
-"""Other routers named in each pulse."""
+RUMOURS = 2
+"""Other routers named in some pulses."""
 
-FETCH_PAUSE = 0.4
-"""Least time between two fetches of a whole state."""
+RUMOUR_EVERY = 4
+"""Pulses of which one names other routers; each name takes 90 bytes."""
 
+CALM_PULSE_SECONDS = 0.4
+"""Time between two pulses in a fleet in which routers tell their zone only. A zone may
+have 15 routers, and each pulse goes to all of them."""
 
-class SharedWork(Protocol):
-    """What placing requests needs to tell and to hear."""
+NEWS_SECONDS = 0.3
+"""Advance of what is known of the store that is passed on at once."""
 
-    def tell_work(self) -> list[EndpointWork]:
-        """Return what this router has under way."""
+SOONEST_SECONDS = 0.03
+"""Least time between two pulses."""
 
-    def tell_uses(self) -> list[OrganisationUse]:
-        """Return what organisations received here."""
+ELSEWHERE_SOURCE = "elsewhere"
 
-    def hear(
-        self, vm: str, work: list[EndpointWork], uses: list[OrganisationUse]
-    ) -> None:
-        """Take the same from another router."""
+FETCH_PAUSE = 0.4
+"""Least time between two fetches of a whole state."""
 
 
 class Spreading:
@@ -68,17 +70,21 @@
         members: Members,
         belief: Belief,
         seeds: Iterable[str],
-        work: SharedWork,
+        work: FleetWork,
+        shares: OrganisationShares,
     ) -> None:
         self._members = members
         self._belief = belief
         self._seeds = tuple(seeds)
         self._work = work
+        self._shares = shares
+        self._topology = Topology(members)
         self._socket = PeerSocket(self._hear)
         self._client = StateClient()
         self._sequence = 0
         self._told: list[tuple[Entry, int]] = []
         self._next_fetch = 0.0
+        self._heard_zones: set[str] = set()
         self._fetching: asyncio.Task[None] | None = None
         self._soon = asyncio.Event()
         self.on_members: Callable[[], None] = lambda: None
@@ -98,22 +104,26 @@
         while True:
             self.pulse()
             self._soon.clear()
+            await asyncio.sleep(SOONEST_SECONDS)
+            period = PULSE_SECONDS if self._topology.flat else CALM_PULSE_SECONDS
             try:
-                async with asyncio.timeout(PULSE_SECONDS * random.uniform(0.9, 1.1)):
+                async with asyncio.timeout(period * random.uniform(0.9, 1.1)):
                     await self._soon.wait()
             except TimeoutError:
                 continue
 
     def pulse(self) -> None:
-        """Send a pulse to each router."""
-        pulse = self._make()
-        others = self._members.others
-        for member in others:
-            self._socket.send(member.peers, pulse)
-        known = {member.peers for member in others}
+        """Send a pulse to each router that is to be told."""
+        changes = self._next_changes()
+        self._sequence += 1
+        for audience in self._topology.audiences():
+            pulse = self._make(audience.scope, changes)
+            for member in audience.members:
+                self._socket.send(member.peers, pulse)
+        known = {member.peers for member in self._members.others}
         for seed in self._seeds:
             if seed not in known and seed != self._members.own.peers:
-                self._socket.send(seed, pulse)
+                self._socket.send(seed, self._make(Scope.OWN, changes))
 
     def state(self) -> WholeState:
         """Return everything this router knows."""
@@ -143,16 +153,18 @@
         self._socket.close()
         self._client.close()
 
-    def _make(self) -> Pulse:
-        belief = self._belief
-        self._told += [(entry, REPEATED) for entry in belief.take_changes()]
+    def _next_changes(self) -> list[EndpointState]:
+        """Return the changes to be told now."""
+        self._told += [(entry, REPEATED) for entry in self._belief.take_changes()]
         now, later = self._told[:CHANGES_A_PULSE], self._told[CHANGES_A_PULSE:]
         self._told = later + [(entry, left - 1) for entry, left in now if left > 1]
         if later:
             self._soon.set()
-        self._sequence += 1
-        answering = self._members.answering
-        rumours = random.sample(answering, min(RUMOURS, len(answering)))
+        return [_to_wire(entry) for entry, _ in now]
+
+    def _make(self, scope: Scope, changes: list[EndpointState]) -> Pulse:
+        belief = self._belief
+        work, uses = self._figures(scope)
         return Pulse(
             PROTOCOL,
             self._members.own.to_wire(),
@@ -161,12 +173,40 @@
             belief.view.digest,
             _milliseconds(belief.age),
             belief.follower,
-            [_to_wire(entry) for entry, _ in now],
-            self._work.tell_work(),
-            self._work.tell_uses(),
-            [member.to_wire() for member in rumours],
+            changes,
+            int(scope),
+            pack_work(work),
+            pack_uses(uses),
+            [member.to_wire() for member in self._rumours(scope)],
         )
 
+    def _figures(self, scope: Scope) -> tuple[dict[int, Work], dict[int, Use]]:
+        """Return the work and use that a scope stands for."""
+        if scope is Scope.ELSEWHERE:
+            zones = [_zone_source(zone) for zone in self._heard_zones]
+            return self._work.from_sources(zones), self._shares.from_sources(zones)
+        work, uses = self._work.own_by_key(), self._shares.own()
+        if scope is Scope.OWN:
+            return work, uses
+        zone = self._members.own.zone
+        mates = [m.vm for m in self._members.answering if m.zone == zone]
+        for key, each in self._work.from_sources(mates).items():
+            work[key] = work.get(key, Work()) + each
+        for key, use in self._shares.from_sources(mates).items():
+            uses[key] = uses.get(key, Use()) + use
+        return work, uses
+
+    def _rumours(self, scope: Scope) -> list[Member]:
+        """Return some routers that the receivers may not hear themselves."""
+        if self._sequence % RUMOUR_EVERY:
+            return []
+        own = self._members.own.zone
+        if scope is Scope.ELSEWHERE:
+            known = [m for m in self._members.ready if m.zone != own]
+        else:
+            known = self._members.answering
+        return random.sample(known, min(RUMOURS, len(known)))
+
     def _hear(self, pulse: Pulse) -> None:
         sender = Member.from_wire(pulse.sender)
         if sender.vm == self._members.own.vm:
@@ -183,14 +223,46 @@
             if self._members.rumour(Member.from_wire(info)):
                 self.on_members()
         belief = self._belief
+        known_at = belief.as_of
         if pulse.changes:
             belief.take_news(map(_from_wire, pulse.changes), sender.vm)
         if pulse.store_age is not None and pulse.store_age >= 0:
             belief.confirm(pulse.digest, pulse.store_age / 1000, pulse.follower or "")
-        self._work.hear(sender.vm, pulse.work or [], pulse.uses or [])
+        self._hear_figures(sender, pulse)
+        if belief.as_of is not None and belief.as_of > (known_at or 0) + NEWS_SECONDS:
+            # pass on at once that the store was read, so that nobody else reads it
+            self._soon.set()
         if self._behind(pulse):
             self._fetch(sender)
 
+    def _hear_figures(self, sender: Member, pulse: Pulse) -> None:
+        scope = pulse.scope or Scope.OWN
+        source = sender.vm
+        near = self._topology.flat or sender.zone == self._members.own.zone
+        if scope == Scope.OWN and not near:
+            # its zone's speaker tells of its work; it must not count twice
+            return
+        if scope == Scope.ZONE:
+            if sender.zone == self._members.own.zone or not self._topology.speaks:
+                return
+            self._heard_zones.add(sender.zone)
+            source = _zone_source(sender.zone)
+            # what it heard of the others before it spoke itself must not count twice
+            self._forget(ELSEWHERE_SOURCE)
+        elif scope == Scope.ELSEWHERE:
+            if self._topology.speaks:
+                # it hears the other zones itself
+                return
+            source = ELSEWHERE_SOURCE
+            for zone in self._heard_zones:
+                self._forget(_zone_source(zone))
+        self._work.hear(source, unpack_work(pulse.work or b""))
+        self._shares.hear(source, unpack_uses(pulse.uses or b""))
+
+    def _forget(self, source: str) -> None:
+        self._work.hear(source, {})
+        self._shares.hear(source, {})
+
     def _behind(self, pulse: Pulse) -> bool:
         """Whether the sender of a pulse knows what this router doesn't."""
         belief = self._belief
@@ -229,6 +301,10 @@
         self.on_members()
 
 
+def _zone_source(zone: str) -> str:
+    return f"zone {zone}"
+
+
 def _milliseconds(seconds: float | None) -> int:
     return -1 if seconds is None else min(int(seconds * 1000), 1 << 30)
 
--- /dev/null
+++ b/packages/fleet/src/teaselledge_fleet/process/topology.py
@@ -0,0 +1,114 @@
+"""Which routers tell which others, so that the cost grows with zones."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import IntEnum
+
+import xxhash
+
+from teaselledge_fleet.process.members import Member, Members
+
+__all__ = ["Audience", "Scope", "Topology"]
+
+ALL_KNOW_ALL = 12
+"""Routers up to which each tells every other.
+
+That is the quickest, and costs each of 12 routers 11 datagrams of 300 bytes four
+times a second, 13 KB/s. In a larger fleet routers tell those of their own zone, and
+one router a zone tells the other zones.
+"""
+
+SPOKEN_TO = 2
+"""Routers of another zone that are told, in case one of them has just died."""
+
+
+class Scope(IntEnum):
+    """Whose work a pulse tells of."""
+
+    OWN = 0
+    """The sender's."""
+
+    ZONE = 1
+    """That of all routers of the sender's zone."""
+
+    ELSEWHERE = 2
+    """That of all other zones."""
+
+
+@dataclass(frozen=True)
+class Audience:
+    """Who gets a pulse of a scope.
+
+    Attributes
+    ----------
+    scope : Scope
+        What it tells.
+    members : list of Member
+        To whom.
+    """
+
+    scope: Scope
+    members: list[Member]
+
+
+class Topology:
+    """Finds the audiences from what is known of the other routers.
+
+    The speaker of a zone is the first of its routers by a hash, of those that answer.
+    Nobody is elected: each router finds the same one by itself, and two speakers for
+    a moment cost some datagrams.
+    """
+
+    def __init__(self, members: Members) -> None:
+        self._members = members
+
+    @property
+    def flat(self) -> bool:
+        """Whether every router tells every other."""
+        return len(self._members.others) < ALL_KNOW_ALL
+
+    @property
+    def speaks(self) -> bool:
+        """Whether this router speaks for its zone."""
+        own = self._members.own
+        mates = [m for m in self._members.answering if m.zone == own.zone]
+        return min([*mates, own], key=_rank) is own
+
+    def audiences(self) -> list[Audience]:
+        """Return who is to be told what."""
+        others = self._members.others
+        if self.flat:
+            return [Audience(Scope.OWN, others)]
+        zone = self._members.own.zone
+        mates = [m for m in others if m.zone == zone]
+        result = [Audience(Scope.OWN, mates)]
+        if self.speaks:
+            result.append(Audience(Scope.ZONE, self._speakers_elsewhere()))
+            result.append(Audience(Scope.ELSEWHERE, mates))
+        return result
+
+    def _speakers_elsewhere(self) -> list[Member]:
+        zone = self._members.own.zone
+        answering = {member.vm for member in self._members.answering}
+        by_zone: dict[str, list[Member]] = {}
+        for member in self._members.others:
+            if member.zone != zone:
+                by_zone.setdefault(member.zone, []).append(member)
+        found: list[Member] = []
+        for members in by_zone.values():
+            found += _first(members, answering)
+        return found
+
+
+def _first(members: Sequence[Member], answering: set[str]) -> list[Member]:
+    """Return the likely speakers: those heard lately first, then by rank."""
+    order = sorted(members, key=lambda m: (m.vm not in answering, _rank(m)))
+    likely = order[:1]
+    for member in sorted(members, key=_rank):
+        if member not in likely and len(likely) < SPOKEN_TO:
+            likely.append(member)
+    return likely
+
+
+def _rank(member: Member) -> int:
+    return xxhash.xxh3_64_intdigest(member.vm.encode())
--- a/packages/fleet/src/teaselledge_fleet/process/work.py
+++ b/packages/fleet/src/teaselledge_fleet/process/work.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 
 import xxhash
-from teaselledge_wire.gen.fleet.ttypes import EndpointWork
 
 __all__ = ["FleetWork", "Work", "key_of"]
 
@@ -17,7 +16,9 @@
 keep engines looking busy.
 """
 
-KEY_BITS = 63
+KEY_BITS = 31
+"""Of two names in 3,000, one in 500 fleets would share a number; their loads would
+then be added up."""
 
 
 def key_of(name: str) -> int:
@@ -25,9 +26,6 @@
     return xxhash.xxh3_64_intdigest(name.encode()) >> (64 - KEY_BITS)
 
 
-MICROSECONDS = 1_000_000
-
-
 @dataclass
 class Work:
     """Requests at one endpoint.
@@ -44,11 +42,14 @@
     running: int = 0
     reading: float = 0.0
 
+    def __add__(self, other: "Work") -> "Work":
+        return Work(self.running + other.running, self.reading + other.reading)
+
 
 @dataclass(frozen=True)
 class _Told:
     at: float
-    work: dict[int, EndpointWork]
+    work: dict[int, Work]
 
 
 class FleetWork:
@@ -68,15 +69,13 @@
 
     def total(self, endpoint: str) -> Work:
         """Return what all routers together have at an endpoint."""
-        own = self._own[endpoint]
-        total = Work(own.running, own.reading)
+        total = self._own[endpoint]
         oldest = self._now() - FORGET_SECONDS
         key = key_of(endpoint)
         for told in self._told.values():
-            entry = told.work.get(key)
-            if entry is not None and told.at >= oldest:
-                total.running += entry.running or 0
-                total.reading += (entry.reading or 0) / MICROSECONDS
+            work = told.work.get(key)
+            if work is not None and told.at >= oldest:
+                total = total + work
         return total
 
     def keep(self, endpoints: Iterable[str]) -> None:
@@ -86,20 +85,25 @@
             if name not in kept and self._own[name].running <= 0:
                 del self._own[name]
 
-    def tell(self) -> list[EndpointWork]:
-        """Return this router's work, for the others."""
-        return [
-            EndpointWork(
-                key_of(name), work.running, max(0, int(work.reading * MICROSECONDS))
-            )
-            for name, work in self._own.items()
-            if work.running
-        ]
-
-    def hear(self, vm: str, work: Iterable[EndpointWork]) -> None:
-        """Take another router's work."""
-        by_key = {entry.endpoint: entry for entry in work}
-        self._told[vm] = _Told(self._now(), by_key)
+    def own_by_key(self) -> dict[int, Work]:
+        """Return this router's work by endpoint."""
+        return {key_of(name): work for name, work in self._own.items() if work.running}
+
+    def from_sources(self, sources: Iterable[str]) -> dict[int, Work]:
+        """Return the sum of what some sources told lately."""
+        oldest = self._now() - FORGET_SECONDS
+        total: defaultdict[int, Work] = defaultdict(Work)
+        for source in sources:
+            told = self._told.get(source)
+            if told is None or told.at < oldest:
+                continue
+            for key, work in told.work.items():
+                total[key] = total[key] + work
+        return dict(total)
+
+    def hear(self, source: str, work: dict[int, Work]) -> None:
+        """Take the work that a source tells of."""
+        self._told[source] = _Told(self._now(), work)
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
--- a/packages/fleet/tests/test_spreading.py
+++ b/packages/fleet/tests/test_spreading.py
@@ -137,3 +137,63 @@
         store.put(endpoint("e1", leaving=True))
         seconds = await wait_for(fleet, lambda r: r.belief.view.get("e1").leaving)
         assert seconds < DRAIN_SECONDS
+
+
+MANY = 40
+"""More routers than tell each other directly."""
+
+
+async def test_every_router_knows_the_work_of_the_whole_fleet():
+    """Routers of other zones are heard through one router a zone only.
+
+    What they have under way must count once everywhere, or engines look idle.
+    """
+    store = new_store()
+    async with spread_fleet(store, MANY, decode) as fleet:
+        await asyncio.sleep(5)
+        for router in fleet.routers:
+            router.work.own("e1").running = 2
+        await asyncio.sleep(2)
+        totals = {router.work.total("e1").running for router in fleet.routers}
+        assert totals == {2 * MANY}
+
+
+async def test_the_bytes_of_a_router_stay_small_in_a_large_fleet():
+    store = new_store()
+    async with spread_fleet(store, MANY, decode) as fleet:
+        await asyncio.sleep(5)
+        before = sum(router.link.sent_bytes for router in fleet.routers)
+        await asyncio.sleep(10)
+        sent = sum(router.link.sent_bytes for router in fleet.routers) - before
+    assert sent / MANY / 10 < 7_000
+
+
+async def test_changes_reach_a_large_fleet_when_a_speaker_dies():
+    """The router that speaks for its zone is killed just as an engine leaves."""
+    store = new_store()
+    async with spread_fleet(store, MANY, decode) as fleet:
+        await asyncio.sleep(5)
+        speakers = [r for r in fleet.routers if r.spreading._topology.speaks]
+        assert len(speakers) == 3
+        speakers[0].kill()
+        store.put(endpoint("e1", leaving=True))
+        store.configure(b"2")
+        seconds = await wait_for(fleet, lambda r: r.belief.view.get("e1").leaving)
+        seconds += await wait_for(fleet, lambda r: r.belief.version == 2)
+        assert seconds < DRAIN_SECONDS
+        await asyncio.sleep(2)
+        for router in alive(fleet):
+            router.work.own("e2").running = 1
+        await asyncio.sleep(2.5)
+        totals = {router.work.total("e2").running for router in alive(fleet)}
+        assert totals == {MANY - 1}
+
+
+async def test_calls_to_the_store_stay_few_in_a_large_fleet():
+    store = new_store()
+    async with spread_fleet(store, MANY, decode) as fleet:
+        await asyncio.sleep(5)
+        store.calls = 0
+        await asyncio.sleep(10)
+        assert len({router.belief.view.digest for router in fleet.routers}) == 1
+    assert store.calls <= 40
--- a/packages/wire/fleet.thrift
+++ b/packages/wire/fleet.thrift
@@ -25,22 +25,6 @@
   9: optional i64 born,
 }
 
-// What the sender has under way at an endpoint; the reading of prompts whose answers
-// have not begun is in microseconds.
-struct EndpointWork {
-  1: i64 endpoint,
-  2: i32 running,
-  3: i64 reading,
-}
-
-// Tokens that an organisation received at the sender, and asked for, since the
-// sender started.
-struct OrganisationUse {
-  1: i64 organisation,
-  2: i64 received,
-  3: i64 asked,
-}
-
 // Sent a few times a second. Ages are in milliseconds, -1 where unknown.
 struct Pulse {
   1: i16 protocol,
@@ -51,9 +35,12 @@
   6: i32 store_age,
   7: string follower,
   8: list<EndpointState> changes,
-  9: list<EndpointWork> work,
-  10: list<OrganisationUse> uses,
-  11: list<RouterInfo> others,
+  // whose work it tells of: 0 the sender's, 1 its zone's, 2 that of all other zones
+  9: i8 scope,
+  // packed by teaselledge_fleet.connection.figures, to fit a datagram
+  10: binary work,
+  11: binary uses,
+  12: list<RouterInfo> others,
 }
 
 // Everything, for a router that knows less.
--- a/packages/wire/src/teaselledge_wire/gen/fleet/ttypes.py
+++ b/packages/wire/src/teaselledge_wire/gen/fleet/ttypes.py
@@ -320,190 +320,6 @@
         return not (self == other)
 
 
-class EndpointWork(object):
-    """
-    Attributes:
-     - endpoint
-     - running
-     - reading
-
-    """
-
-    __slots__ = (
-        'endpoint',
-        'running',
-        'reading',
-    )
-
-
-    def __init__(self, endpoint=None, running=None, reading=None,):
-        self.endpoint = endpoint
-        self.running = running
-        self.reading = reading
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.I64:
-                    self.endpoint = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I32:
-                    self.running = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.I64:
-                    self.reading = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('EndpointWork')
-        if self.endpoint is not None:
-            oprot.writeFieldBegin('endpoint', TType.I64, 1)
-            oprot.writeI64(self.endpoint)
-            oprot.writeFieldEnd()
-        if self.running is not None:
-            oprot.writeFieldBegin('running', TType.I32, 2)
-            oprot.writeI32(self.running)
-            oprot.writeFieldEnd()
-        if self.reading is not None:
-            oprot.writeFieldBegin('reading', TType.I64, 3)
-            oprot.writeI64(self.reading)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
-class OrganisationUse(object):
-    """
-    Attributes:
-     - organisation
-     - received
-     - asked
-
-    """
-
-    __slots__ = (
-        'organisation',
-        'received',
-        'asked',
-    )
-
-
-    def __init__(self, organisation=None, received=None, asked=None,):
-        self.organisation = organisation
-        self.received = received
-        self.asked = asked
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.I64:
-                    self.organisation = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I64:
-                    self.received = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.I64:
-                    self.asked = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('OrganisationUse')
-        if self.organisation is not None:
-            oprot.writeFieldBegin('organisation', TType.I64, 1)
-            oprot.writeI64(self.organisation)
-            oprot.writeFieldEnd()
-        if self.received is not None:
-            oprot.writeFieldBegin('received', TType.I64, 2)
-            oprot.writeI64(self.received)
-            oprot.writeFieldEnd()
-        if self.asked is not None:
-            oprot.writeFieldBegin('asked', TType.I64, 3)
-            oprot.writeI64(self.asked)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class Pulse(object):
     """
     Attributes:
@@ -515,6 +331,7 @@
      - store_age
      - follower
      - changes
+     - scope
      - work
      - uses
      - others
@@ -530,13 +347,14 @@
         'store_age',
         'follower',
         'changes',
+        'scope',
         'work',
         'uses',
         'others',
     )
 
 
-    def __init__(self, protocol=None, sender=None, sequence=None, version=None, digest=None, store_age=None, follower=None, changes=None, work=None, uses=None, others=None,):
+    def __init__(self, protocol=None, sender=None, sequence=None, version=None, digest=None, store_age=None, follower=None, changes=None, scope=None, work=None, uses=None, others=None,):
         self.protocol = protocol
         self.sender = sender
         self.sequence = sequence
@@ -545,6 +363,7 @@
         self.store_age = store_age
         self.follower = follower
         self.changes = changes
+        self.scope = scope
         self.work = work
         self.uses = uses
         self.others = others
@@ -606,35 +425,28 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
-                if ftype == TType.LIST:
-                    self.work = []
-                    (_etype9, _size6) = iprot.readListBegin()
-                    for _i10 in range(_size6):
-                        _elem11 = EndpointWork()
-                        _elem11.read(iprot)
-                        self.work.append(_elem11)
-                    iprot.readListEnd()
+                if ftype == TType.BYTE:
+                    self.scope = iprot.readByte()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
-                if ftype == TType.LIST:
-                    self.uses = []
-                    (_etype15, _size12) = iprot.readListBegin()
-                    for _i16 in range(_size12):
-                        _elem17 = OrganisationUse()
-                        _elem17.read(iprot)
-                        self.uses.append(_elem17)
-                    iprot.readListEnd()
+                if ftype == TType.STRING:
+                    self.work = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
+                if ftype == TType.STRING:
+                    self.uses = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
                 if ftype == TType.LIST:
                     self.others = []
-                    (_etype21, _size18) = iprot.readListBegin()
-                    for _i22 in range(_size18):
-                        _elem23 = RouterInfo()
-                        _elem23.read(iprot)
-                        self.others.append(_elem23)
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = RouterInfo()
+                        _elem11.read(iprot)
+                        self.others.append(_elem11)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -679,29 +491,27 @@
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter24 in self.changes:
-                iter24.write(oprot)
+            for iter12 in self.changes:
+                iter12.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.scope is not None:
+            oprot.writeFieldBegin('scope', TType.BYTE, 9)
+            oprot.writeByte(self.scope)
+            oprot.writeFieldEnd()
         if self.work is not None:
-            oprot.writeFieldBegin('work', TType.LIST, 9)
-            oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter25 in self.work:
-                iter25.write(oprot)
-            oprot.writeListEnd()
+            oprot.writeFieldBegin('work', TType.STRING, 10)
+            oprot.writeBinary(self.work)
             oprot.writeFieldEnd()
         if self.uses is not None:
-            oprot.writeFieldBegin('uses', TType.LIST, 10)
-            oprot.writeListBegin(TType.STRUCT, len(self.uses))
-            for iter26 in self.uses:
-                iter26.write(oprot)
-            oprot.writeListEnd()
+            oprot.writeFieldBegin('uses', TType.STRING, 11)
+            oprot.writeBinary(self.uses)
             oprot.writeFieldEnd()
         if self.others is not None:
-            oprot.writeFieldBegin('others', TType.LIST, 11)
+            oprot.writeFieldBegin('others', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.others))
-            for iter27 in self.others:
-                iter27.write(oprot)
+            for iter13 in self.others:
+                iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -808,22 +618,22 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.endpoints = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = EndpointState()
-                        _elem33.read(iprot)
-                        self.endpoints.append(_elem33)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = EndpointState()
+                        _elem19.read(iprot)
+                        self.endpoints.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.routers = []
-                    (_etype37, _size34) = iprot.readListBegin()
-                    for _i38 in range(_size34):
-                        _elem39 = RouterInfo()
-                        _elem39.read(iprot)
-                        self.routers.append(_elem39)
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = RouterInfo()
+                        _elem25.read(iprot)
+                        self.routers.append(_elem25)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -864,15 +674,15 @@
         if self.endpoints is not None:
             oprot.writeFieldBegin('endpoints', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.endpoints))
-            for iter40 in self.endpoints:
-                iter40.write(oprot)
+            for iter26 in self.endpoints:
+                iter26.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.routers is not None:
             oprot.writeFieldBegin('routers', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.routers))
-            for iter41 in self.routers:
-                iter41.write(oprot)
+            for iter27 in self.routers:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -922,20 +732,6 @@
     (8, TType.BOOL, 'leaving', None, None, ),  # 8
     (9, TType.I64, 'born', None, None, ),  # 9
 )
-all_structs.append(EndpointWork)
-EndpointWork.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'endpoint', None, None, ),  # 1
-    (2, TType.I32, 'running', None, None, ),  # 2
-    (3, TType.I64, 'reading', None, None, ),  # 3
-)
-all_structs.append(OrganisationUse)
-OrganisationUse.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'organisation', None, None, ),  # 1
-    (2, TType.I64, 'received', None, None, ),  # 2
-    (3, TType.I64, 'asked', None, None, ),  # 3
-)
 all_structs.append(Pulse)
 Pulse.thrift_spec = (
     None,  # 0
@@ -947,9 +743,10 @@
     (6, TType.I32, 'store_age', None, None, ),  # 6
     (7, TType.STRING, 'follower', 'UTF8', None, ),  # 7
     (8, TType.LIST, 'changes', (TType.STRUCT, [EndpointState, None], False), None, ),  # 8
-    (9, TType.LIST, 'work', (TType.STRUCT, [EndpointWork, None], False), None, ),  # 9
-    (10, TType.LIST, 'uses', (TType.STRUCT, [OrganisationUse, None], False), None, ),  # 10
-    (11, TType.LIST, 'others', (TType.STRUCT, [RouterInfo, None], False), None, ),  # 11
+    (9, TType.BYTE, 'scope', None, None, ),  # 9
+    (10, TType.STRING, 'work', 'BINARY', None, ),  # 10
+    (11, TType.STRING, 'uses', 'BINARY', None, ),  # 11
+    (12, TType.LIST, 'others', (TType.STRUCT, [RouterInfo, None], False), None, ),  # 12
 )
 all_structs.append(WholeState)
 WholeState.thrift_spec = (
