--- /dev/null
+++ b/packages/fleet/tests/test_placing.py
@@ -0,0 +1,170 @@
+"""Tests of choosing engines and of refusing."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from teaselledge_fleet.faults import FaultKind
+from teaselledge_fleet.process.endpoints import Endpoint, EndpointView, Entry
+from teaselledge_fleet.process.parts import ranked
+from teaselledge_fleet.process.placing import FleetPlacer
+from teaselledge_fleet.process.shares import Use
+from teaselledge_fleet.process.work import Work, key_of
+from teaselledge_fleet.request.call import Call, Prompt, PromptPart
+from teaselledge_fleet.request.serving import Journey, Outcome
+from teaselledge_fleet.version.routes import Organisation, Repeat
+from teaselledge_standins.routes import make_route
+from tornado.httputil import HTTPHeaders
+
+VIRTUAL_CLOCK = True
+ZONES = {"north": "west", "south": "west", "far": "east"}
+ENGINES = [
+    Endpoint(f"e{number}", "books", f"127.0.0.1:{number}", zone, 48)
+    for number, zone in enumerate(("north", "north", "south", "south", "far"))
+]
+
+
+@dataclass
+class Desk:
+    """A placer and its view."""
+
+    view: EndpointView = field(default_factory=EndpointView)
+    asked: int = 0
+
+    def __post_init__(self) -> None:
+        self.view.merge(Entry(e.id, 1, e) for e in ENGINES)
+        self.placer = FleetPlacer(self.view, "north", ZONES)
+
+    def journey(self, part: str = "p1", shared: int = 13_000, own: int = 3_700, **more):
+        """Return a request with a prompt."""
+        self.asked += 1
+        parts = (PromptPart(part, shared), PromptPart(f"own{self.asked}", own))
+        prompt = Prompt(shared + own, 120, parts)
+        call = Call(f"q{self.asked}", "POST", "/r/1", "h", HTTPHeaders(), prompt=prompt)
+        now = asyncio.get_running_loop().time()
+        route = make_route(Repeat.NEVER, stream=True, prompt=True, objective=0.8)
+        owner = Organisation(more.get("owner", "cellar"), ())
+        body = b"x" * more.get("size", 17_000)
+        return Journey(call, body, route, "books", owner, now, now + 8.0)
+
+    def fill(self, engine: str, reading: float, running: int = 1) -> None:
+        """Let another router tell of work at an engine."""
+        self.placer.work.hear("r2", {key_of(engine): Work(running, reading)})
+
+
+async def placed(desk: Desk, journey: Journey):
+    result = await desk.placer.place(journey)
+    return result.ok.endpoint.id if result.is_ok() else result.error
+
+
+async def test_prompts_with_the_same_part_go_to_the_same_engine():
+    """Scattered over engines, a part is read again on each of them."""
+    desk = Desk()
+    for part in ("p1", "p2", "p3", "p4"):
+        chosen = set()
+        for _ in range(5):
+            journey = desk.journey(part)
+            chosen.add(await placed(desk, journey))
+            desk.placer.began(journey, desk.view.get(next(iter(chosen))))
+        assert chosen == {ranked(part, ENGINES)[0].id}
+
+
+async def test_another_router_chooses_the_same_engine():
+    here, there = Desk(), Desk()
+    there.placer = FleetPlacer(there.view, "far", ZONES)
+    for part in ("p1", "p2", "p3"):
+        assert await placed(here, here.journey(part)) == await placed(
+            there, there.journey(part)
+        )
+
+
+async def test_a_part_stays_when_another_engine_goes():
+    desk = Desk()
+    home = ranked("p1", ENGINES)[0].id
+    other = ranked("p1", ENGINES)[1].id
+    desk.view.merge([Entry(other, 2, None)])
+    assert await placed(desk, desk.journey("p1")) == home
+
+
+async def test_a_new_first_choice_copies_the_part_from_the_old_one():
+    """The engine that keeps a part leaves; the next one need not read it anew."""
+    desk = Desk()
+    home, second = ranked("p1", ENGINES)[:2]
+    result = await desk.placer.place(desk.journey("p1"))
+    assert result.ok.endpoint == home
+    assert result.ok.fetch_from == second.address
+
+
+async def test_an_engine_behind_on_reading_gets_no_more():
+    """Other routers have sent an engine more than it can read in time.
+
+    Callers would all get their first token late; refused at once, some are served in
+    time and the others can come back.
+    """
+    desk = Desk()
+    for engine in ENGINES:
+        desk.fill(engine.id, 0.0)
+    desk.placer.work.hear("r2", {key_of(e.id): Work(5, 0.6) for e in ENGINES})
+    refused = await placed(desk, desk.journey())
+    assert refused.kind is FaultKind.OVER_CAPACITY
+    assert 0 < refused.retry_after < 2
+
+
+async def test_a_short_prompt_leaves_a_full_engine():
+    desk = Desk()
+    home = ranked("chat", ENGINES)[0].id
+    desk.fill(home, 0.05, running=47)
+    journey = desk.journey("chat", shared=350, own=1_100, size=1_500)
+    assert await placed(desk, journey) != home
+
+
+async def test_over_share_is_refused_before_the_others():
+    """One organisation floods the fleet; the others must still find room."""
+    desk = Desk()
+    desk.placer.shares.hear(
+        "r2",
+        {
+            key_of("flood"): Use(900_000, 500_000),
+            key_of("cellar"): Use(300_000, 100_000),
+        },
+    )
+    desk.placer.work.hear("r2", {key_of(e.id): Work(5, 0.2) for e in ENGINES})
+    flood = await placed(desk, desk.journey(owner="flood"))
+    assert flood.kind is FaultKind.OVER_SHARE
+    assert isinstance(await placed(desk, desk.journey(owner="cellar")), str)
+
+
+async def test_nobody_is_refused_while_engines_have_room():
+    desk = Desk()
+    desk.placer.shares.hear("r2", {key_of("flood"): Use(900_000, 500_000)})
+    assert isinstance(await placed(desk, desk.journey(owner="flood")), str)
+
+
+async def test_work_of_a_silent_router_is_forgotten():
+    """A router is cut off; what it had told must not block engines for ever."""
+    desk = Desk()
+    desk.placer.work.hear("r2", {key_of(e.id): Work(48, 5.0) for e in ENGINES})
+    assert not isinstance(await placed(desk, desk.journey()), str)
+    await asyncio.sleep(2.5)
+    assert isinstance(await placed(desk, desk.journey()), str)
+
+
+async def test_ended_requests_leave_nothing_behind():
+    desk = Desk()
+    for outcome in Outcome:
+        journey = desk.journey()
+        name = await placed(desk, journey)
+        desk.placer.ended(journey, desk.view.get(name), outcome)
+        await asyncio.sleep(60)
+    for engine in ENGINES:
+        total = desk.placer.work.total(engine.id)
+        assert (total.running, round(total.reading, 9)) == (0, 0)
+
+
+async def test_an_engine_that_can_not_be_reached_is_left_for_a_while():
+    desk = Desk()
+    journey = desk.journey("p1")
+    home = await placed(desk, journey)
+    desk.placer.ended(journey, desk.view.get(home), Outcome.UNSENT)
+    assert await placed(desk, desk.journey("p1")) != home
+    await asyncio.sleep(5)
+    assert await placed(desk, desk.journey("p1")) == home
