--- /dev/null
+++ b/packages/fleet/src/teaselledge_fleet/process/metrics.py
@@ -0,0 +1,116 @@
+"""Metrics, declared in one table and served as text."""
+
+from dataclasses import dataclass
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+__all__ = ["METRICS", "FleetMetrics", "Metric"]
+
+PREFIX = "teaselledge_"
+SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0)
+"""Edges of the histograms: around the objectives of 0.2 to 0.8 s, up to the longest
+deadlines of 10 s."""
+
+
+@dataclass(frozen=True)
+class Metric:
+    """One metric.
+
+    Attributes
+    ----------
+    kind : str
+        ``counter``, ``gauge`` or ``histogram``.
+    unit : str
+        Unit of its value.
+    meaning : str
+        What it tells, in one sentence.
+    labels : tuple of str
+        Names of its labels.
+    """
+
+    kind: str
+    unit: str
+    meaning: str
+    labels: tuple[str, ...] = ()
+
+
+METRICS: dict[str, Metric] = {
+    "requests": Metric(
+        "counter", "requests", "Ended requests.", ("outcome", "fault", "service")
+    ),
+    "attempts": Metric(
+        "counter", "attempts", "Attempts at endpoints.", ("outcome", "service")
+    ),
+    "request_seconds": Metric(
+        "histogram", "s", "Time from arrival to the end of an answer.", ("service",)
+    ),
+    "first_event_seconds": Metric(
+        "histogram", "s", "Time from arrival to the first event.", ("service",)
+    ),
+    "pause_seconds": Metric(
+        "histogram", "s", "Longest pause between the events of a stream.", ("service",)
+    ),
+    "running": Metric("gauge", "requests", "Requests that are read or answered."),
+    "version": Metric("gauge", "version", "Configuration in force, 0 without one."),
+    "store_age_seconds": Metric(
+        "gauge", "s", "Age of what is known of the store, -1 if nothing is known."
+    ),
+    "store_calls": Metric("counter", "calls", "Calls to the store."),
+    "endpoint_connections": Metric(
+        "counter", "connections", "Connections opened to endpoints."
+    ),
+    "peer_sent_bytes": Metric(
+        "counter", "bytes", "Bytes sent to other routers in datagrams."
+    ),
+    "peer_malformed": Metric("counter", "datagrams", "Datagrams that are no pulses."),
+    "routers_answering": Metric("gauge", "routers", "Other routers heard lately."),
+}
+
+
+class FleetMetrics:
+    """Counts, and writes what was counted as text."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._counters: dict[str, Counter] = {}
+        self._gauges: dict[str, Gauge] = {}
+        self._histograms: dict[str, Histogram] = {}
+        self._totals: dict[str, float] = {}
+        for name, metric in METRICS.items():
+            self._declare(name, metric)
+
+    def count(self, name: str, value: float = 1, **labels: str) -> None:
+        """Add to a counter."""
+        family = self._counters[name]
+        (family.labels(**labels) if labels else family).inc(value)
+
+    def set(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        self._gauges[name].set(value)
+
+    def set_total(self, name: str, total: float) -> None:
+        """Bring a counter to a total that is kept elsewhere."""
+        self.count(name, max(0.0, total - self._totals.get(name, 0.0)))
+        self._totals[name] = total
+
+    def observe(self, name: str, seconds: float, **labels: str) -> None:
+        """Add to a histogram."""
+        family = self._histograms[name]
+        (family.labels(**labels) if labels else family).observe(seconds)
+
+    def text(self) -> bytes:
+        """Return all metrics in the text format that monitoring tools read."""
+        return generate_latest(self._registry)
+
+    def _declare(self, name: str, metric: Metric) -> None:
+        arguments = (PREFIX + name, metric.meaning, metric.labels)
+        registry = self._registry
+        if metric.kind == "counter":
+            self._counters[name] = Counter(*arguments, registry=registry)
+        elif metric.kind == "gauge":
+            self._gauges[name] = Gauge(*arguments, registry=registry)
+        else:
+            self._histograms[name] = Histogram(
+                *arguments, registry=registry, buckets=SECONDS
+            )
--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -8,6 +8,7 @@
 from expression import Error, Ok, Result
 
 from teaselledge_fleet.faults import Fault, FaultKind
+from teaselledge_fleet.log import get_log
 from teaselledge_fleet.process.distance import Distance
 from teaselledge_fleet.process.endpoints import Endpoint, EndpointView
 from teaselledge_fleet.process.forecast import PlainForecast, engine_wait
@@ -26,6 +27,8 @@
 
 __all__ = ["FleetPlacer"]
 
+_log = get_log("placing")
+
 WAIT_PART = 0.5
 """Part of the objective that a request may wait behind others' prompts.
 
@@ -161,9 +164,16 @@
         best = min(candidates, key=lambda c: c.cost)
         refusal = self._refusal(journey, best)
         if refusal is not None:
+            _log.info(
+                "request not placed",
+                id=journey.call.id,
+                fault=refusal.kind.value,
+                endpoint=best.endpoint.id,
+                **self._reasons(best),
+            )
             return Error(refusal)
         self._begin(journey, best)
-        return Ok(Placement(best.endpoint, best.fetch_from))
+        return Ok(Placement(best.endpoint, best.fetch_from, self._reasons(best)))
 
     def began(self, journey: Journey, endpoint: Endpoint) -> None:
         """Note the first part of an answer."""
@@ -274,6 +284,16 @@
         paid = self._distance.paid(endpoint.zone, kilobytes)
         return failing + paid + DELAY_WEIGHT * delay + OVERRUN_WEIGHT * overrun
 
+    def _reasons(self, best: _Candidate) -> dict[str, float]:
+        """Return the figures that decided, for the log."""
+        work = self._work.total(best.endpoint.id)
+        return {
+            "wait_ms": round(best.wait * 1000),
+            "running": work.running,
+            "reading_before_ms": round(work.reading * 1000),
+            "failing": round(self._results.failing(best.endpoint.id), 2),
+        }
+
     def _refusal(self, journey: Journey, best: _Candidate) -> Fault | None:
         if journey.call.prompt is None or journey.sends:
             return None
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -16,6 +16,7 @@
 from teaselledge_fleet.process.following import StoreFollower
 from teaselledge_fleet.process.leaving import Leaving
 from teaselledge_fleet.process.members import Member, Members, MemberState
+from teaselledge_fleet.process.metrics import FleetMetrics
 from teaselledge_fleet.process.placing import FleetPlacer
 from teaselledge_fleet.process.registration import Registration
 from teaselledge_fleet.process.settings import FleetSettings
@@ -38,6 +39,7 @@
 
 INCARNATION_BITS = 62
 METRICS_PATH = "/metrics"
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
 class Pages(Protocol):
@@ -94,7 +96,10 @@
         self._pool = ConnectionPool()
         self._budget = RepeatBudget(_limits(settings))
         self._placer = FleetPlacer(self._belief.view, place.zone, settings.zones)
-        self._server = Server(dialect, self._pool, self._placer, self._budget)
+        self._metrics = FleetMetrics()
+        self._server = Server(
+            dialect, self._pool, self._placer, self._budget, self._metrics
+        )
         limits = CallerLimits()
         self._front = FrontServer(
             self._server.serve,
@@ -125,6 +130,8 @@
         if listeners.addresses:
             self._listen(listeners.addresses, self._answer_addresses)
         self._listen(listeners.peers, self._answer_peers)
+        if listeners.metrics:
+            self._listen(listeners.metrics, self._answer_metrics)
         await self._spreading.listen(*_split(listeners.peers))
         self._tasks = [
             asyncio.create_task(self._spreading.run()),
@@ -186,6 +193,21 @@
             return Page(200, body, "application/octet-stream")
         return Page(404)
 
+    def _answer_metrics(self, path: str, arguments: dict[str, str]) -> Page:
+        if path != METRICS_PATH:
+            return Page(404)
+        metrics = self._metrics
+        age = self._belief.age
+        metrics.set("running", self._front.running)
+        metrics.set("version", self._belief.version)
+        metrics.set("store_age_seconds", -1.0 if age is None else age)
+        metrics.set("routers_answering", len(self._members.answering))
+        metrics.set_total("store_calls", self._follower.calls)
+        metrics.set_total("endpoint_connections", self._pool.opened)
+        metrics.set_total("peer_sent_bytes", self._spreading.sent_bytes)
+        metrics.set_total("peer_malformed", self._spreading.malformed)
+        return Page(200, metrics.text(), METRICS_TYPE)
+
 
 def _limits(settings: FleetSettings) -> RepeatLimits:
     return RepeatLimits(
--- a/packages/fleet/src/teaselledge_fleet/process/settings.py
+++ b/packages/fleet/src/teaselledge_fleet/process/settings.py
@@ -40,12 +40,15 @@
         Other routers, over UDP and over HTTP.
     addresses : str
         Which routers callers should use.
+    metrics : str
+        Metrics as text; empty where they are not served.
     """
 
     callers: str
     ready: str
     peers: str
     addresses: str
+    metrics: str = ""
 
 
 @dataclass(frozen=True)
--- a/packages/fleet/src/teaselledge_fleet/process/spreading.py
+++ b/packages/fleet/src/teaselledge_fleet/process/spreading.py
@@ -95,6 +95,11 @@
         """Bytes sent to other routers in datagrams."""
         return self._socket.sent_bytes
 
+    @property
+    def malformed(self) -> int:
+        """Datagrams that were no pulses."""
+        return self._socket.malformed
+
     async def listen(self, host: str, port: int) -> None:
         """Open the socket."""
         await self._socket.listen(host, port)
--- a/packages/fleet/src/teaselledge_fleet/request/serving.py
+++ b/packages/fleet/src/teaselledge_fleet/request/serving.py
@@ -18,6 +18,7 @@
 from teaselledge_fleet.log import get_log
 from teaselledge_fleet.process.budget import RepeatBudget
 from teaselledge_fleet.process.endpoints import Endpoint
+from teaselledge_fleet.process.metrics import FleetMetrics
 from teaselledge_fleet.request.call import Call, Dialect, EndpointHead, Onward
 from teaselledge_fleet.request.events import EventSplitter
 from teaselledge_fleet.version.routes import Organisation, Repeat, Route, Routing
@@ -126,10 +127,13 @@
         Runs it.
     fetch_from : str or None
         Address of an engine that may keep the shared parts of the prompt.
+    reasons : dict of str to float
+        Figures that decided it, for the log.
     """
 
     endpoint: Endpoint
     fetch_from: str | None = None
+    reasons: dict[str, float] = field(default_factory=dict)
 
 
 class Placer(Protocol):
@@ -162,11 +166,13 @@
         pool: ConnectionPool,
         placer: Placer,
         budget: RepeatBudget,
+        metrics: FleetMetrics | None = None,
     ) -> None:
         self._dialect = dialect
         self._pool = pool
         self._placer = placer
         self._budget = budget
+        self._metrics = metrics or FleetMetrics()
         self.routing: Routing | None = None
         self.leaving = False
 
@@ -177,6 +183,7 @@
         )
         admitted = self._admit(call, incoming)
         if admitted.is_error():
+            self._tell_refusal(call, admitted.error)
             await self._refuse(call, sink, admitted.error)
             return
         journey = admitted.ok
@@ -211,6 +218,19 @@
             )
         )
 
+    def _tell_refusal(self, call: Call, fault: Fault) -> None:
+        kind = fault.kind.value
+        self._metrics.count("requests", outcome="refused", fault=kind, service="")
+        _log.info(
+            "request refused",
+            id=call.id,
+            fault=kind,
+            host=call.host,
+            path=call.path,
+            version=self.routing.version if self.routing is not None else 0,
+            retry_after=fault.retry_after,
+        )
+
     async def _refuse(self, call: Call, sink: CallerSink, fault: Fault) -> None:
         body = body_of(fault)
         headers = head_of(fault, self._dialect.refusal_headers(call), len(body))
@@ -255,6 +275,9 @@
                 outcome = await self._attempt(placed.ok)
             finally:
                 self._server._placer.ended(journey, endpoint, outcome)
+                self._server._metrics.count(
+                    "attempts", outcome=outcome.name.lower(), service=journey.service
+                )
             if outcome is Outcome.WHOLE:
                 return outcome, endpoint
             if not self._again(outcome):
@@ -273,6 +296,15 @@
         if journey.sends == 0:
             server._budget.note_first(journey.service)
         journey.sends += 1
+        _log.info(
+            "attempt sent",
+            id=journey.call.id,
+            endpoint=endpoint.id,
+            address=endpoint.address,
+            send=journey.sends,
+            fetch_from=placement.fetch_from,
+            **placement.reasons,
+        )
         before = journey.may_have_run
         journey.may_have_run = True
         onward = self._onward(placement)
@@ -434,9 +466,23 @@
             return
         await self._give_up(Fault(FaultKind.NOT_IN_TIME, 0.5))
 
+    def _count(self, outcome: Outcome, now: float) -> None:
+        journey, metrics = self._journey, self._server._metrics
+        service = journey.service
+        fault = self._fault.kind.value if self._fault is not None else ""
+        metrics.count(
+            "requests", outcome=outcome.name.lower(), fault=fault, service=service
+        )
+        metrics.observe("request_seconds", now - journey.arrived, service=service)
+        if journey.begun is not None:
+            first = journey.begun - journey.arrived
+            metrics.observe("first_event_seconds", first, service=service)
+            metrics.observe("pause_seconds", journey.longest_pause, service=service)
+
     def _tell(self, outcome: Outcome, endpoint: Endpoint | None) -> None:
         journey = self._journey
         now = asyncio.get_running_loop().time()
+        self._count(outcome, now)
         first = None
         if journey.begun is not None:
             first = round((journey.begun - journey.arrived) * 1000)
@@ -452,6 +498,7 @@
             tried=journey.tried,
             prompt=journey.call.prompt.tokens if journey.call.prompt else None,
             reading_ms=round(journey.reading * 1000),
+            retry_after=self._fault.retry_after if self._fault is not None else None,
             sends=journey.sends,
             first_ms=first,
             pause_ms=round(journey.longest_pause * 1000),
