--- a/packages/ctl/src/teaselctl/commands/__init__.py
+++ b/packages/ctl/src/teaselctl/commands/__init__.py
@@ -99,6 +99,13 @@
         "List, show and settle orders.",
         "Settle an order only after you asked the service whether it ran.",
     ),
+    "explain": Command(
+        "teaselctl.commands.explain",
+        "explain ID [FILE...]",
+        "Tell the story of one request from the routers' logs.",
+        "Reads JSON lines from the files, or from standard input. Lines that can't "
+        "be read are counted. Exit code 0: found, 1: no line tells of it.",
+    ),
     "report": Command(
         "teaselctl.commands.report",
         "report burn [--html=FILE] [--organisation=O] [--service=S] "
