--- a/packages/fleet/src/teaselledge_fleet/request/serving.py
+++ b/packages/fleet/src/teaselledge_fleet/request/serving.py
@@ -192,7 +192,7 @@
     def _admit(self, call: Call, incoming: Incoming) -> Result[Journey, Fault]:
         routing = self.routing
         if routing is None:
-            return Error(Fault(FaultKind.NOT_CONFIGURED, 0.5))
+            return Error(Fault(FaultKind.NOT_CONFIGURED, 0.15))
         if self.leaving:
             return Error(Fault(FaultKind.LEAVING, 0.05))
         route = routing.route_of(call.host, call.path)
--- a/packages/standins/src/teaselledge_standins/scripted.py
+++ b/packages/standins/src/teaselledge_standins/scripted.py
@@ -52,19 +52,20 @@
     received: list[Received] = field(default_factory=list)
     connections: int = 0
     left: asyncio.Event = field(default_factory=asyncio.Event)
+    _address: str = ""
     _server: asyncio.Server | None = None
     _tasks: set["asyncio.Task[None]"] = field(default_factory=set)
 
     @property
     def address(self) -> str:
         """``host:port`` where it listens."""
-        assert self._server is not None
-        host, port = self._server.sockets[0].getsockname()[:2]
-        return f"{host}:{port}"
+        return self._address
 
     async def __aenter__(self) -> "ScriptedEndpoint":
         """Start to listen."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self._address = f"{host}:{port}"
         return self
 
     async def __aexit__(self, *error: object) -> None:
