--- a/packages/fleet/src/teaselledge_fleet/connection/pool.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import defaultdict
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from expression import Error, Ok, Result
@@ -39,6 +40,7 @@
     def __init__(self, limits: PoolLimits | None = None) -> None:
         self._limits = limits or PoolLimits()
         self._open: dict[str, list[EndpointConnection]] = defaultdict(list)
+        self._caps: Mapping[str, int] = {}
         self._opened = 0
 
     @property
@@ -65,6 +67,7 @@
         connection = self._find(address, once)
         if connection is not None:
             return Ok(connection)
+        self._shrink(address, self._caps.get(address, 1))
         opened = await EndpointConnection.open(address)
         if opened.is_error():
             return Error(opened.error)
@@ -72,11 +75,25 @@
         self._open[address].append(opened.ok)
         return Ok(opened.ok)
 
-    def forget(self, address: str) -> None:
-        """Close the idle connections to an address that an endpoint has left."""
-        for connection in self._open.pop(address, []):
-            if connection.idle:
-                connection.close()
+    def use_caps(self, caps: Mapping[str, int]) -> None:
+        """Take how many connections to keep open, by address of the endpoint.
+
+        An endpoint accepts a number of connections from all routers together and
+        resets those beyond it, with the requests on them. Idle connections to
+        addresses without a number are closed: another endpoint may take them over.
+        """
+        self._caps = caps
+        for address in list(self._open):
+            self._shrink(address, caps.get(address, 0))
+
+    def _shrink(self, address: str, cap: int) -> None:
+        """Close the longest idle connections beyond a number."""
+        alive = self._sweep(address)
+        idle = sorted((c for c in alive if c.idle), key=lambda c: c.idle_since)
+        for connection in idle[: max(0, len(alive) - cap)]:
+            connection.close()
+        if not self._sweep(address):
+            del self._open[address]
 
     def close(self) -> None:
         """Close all connections."""
--- a/packages/fleet/src/teaselledge_fleet/process/budget.py
+++ b/packages/fleet/src/teaselledge_fleet/process/budget.py
@@ -46,6 +46,10 @@
         self._repeats: defaultdict[str, deque[float]] = defaultdict(deque)
         self._routers = 1
 
+    def use(self, limits: RepeatLimits) -> None:
+        """Take other limits."""
+        self._limits = limits
+
     def note_routers(self, count: int) -> None:
         """Take the number of routers; the highest ever told counts.
 
--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -73,7 +73,9 @@
 """Price of a place on an engine whose slots are all taken, against an empty one.
 
 Each running request makes the tokens of all others slower, by 0.2 ms of 12 ms. A
-prompt with little to share goes where few run; one with a long shared part stays.
+prompt with little to share goes where few run; one with a long shared part stays. It
+grows with the square, so that engines with room are not evened out for the price of
+bytes between zones.
 """
 
 FAILING_SECONDS = 0.6
@@ -270,7 +272,7 @@
         work = self._work.total(endpoint.id)
         wait = engine_wait(work, endpoint.slots)
         cost = extra + self._detour(endpoint, journey, wish.kilobytes, wait)
-        cost += FULLNESS_SECONDS * work.running / endpoint.slots
+        cost += FULLNESS_SECONDS * (work.running / endpoint.slots) ** 2
         address = source.address if source is not None else None
         return _Candidate(endpoint, wish.reading, wait, cost + _tie_break(), address)
 
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -37,6 +37,10 @@
 callers. Asking twice a second costs a caller 400 bytes a second.
 """
 
+CONNECTIONS_KEPT = 0.7
+"""Part of the connections that an endpoint accepts that all routers keep open together.
+The rest is for requests that come while all of them are busy."""
+
 INCARNATION_BITS = 62
 METRICS_PATH = "/metrics"
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
@@ -140,6 +144,12 @@
         ]
         _log.info("router started", vm=self._settings.place.vm)
 
+    def use(self, settings: FleetSettings) -> None:
+        """Take what may change in the settings while the process runs."""
+        self._spreading.use_seeds(settings.seeds)
+        self._budget.use(_limits(settings))
+        _log.info("settings taken", seeds=list(settings.seeds))
+
     def stop(self) -> None:
         """Begin to leave."""
         _log.info("router stops", running=self._front.running)
@@ -167,12 +177,28 @@
     def _take_belief(self) -> None:
         self._server.routing = self._belief.routing
         self._placer.keep()
+        self._share_connections()
         if self._members.own.state is MemberState.STARTING and self._belief.version:
             _log.info("router ready", version=self._belief.version)
             self._members.set_state(MemberState.READY)
 
     def _note_members(self) -> None:
         self._budget.note_routers(len(self._members.others) + 1)
+        self._share_connections()
+
+    def _share_connections(self) -> None:
+        """Keep this router's part of the connections that each endpoint accepts."""
+        routing = self._belief.routing
+        if routing is None:
+            return
+        routers = len(self._members.others) + 1
+        caps = {}
+        for endpoint in self._belief.view.endpoints:
+            service = routing.services.get(endpoint.service)
+            if service is not None:
+                part = CONNECTIONS_KEPT * service.max_connections / routers
+                caps[endpoint.address] = max(1, int(part))
+        self._pool.use_caps(caps)
 
     def _answer_ready(self, path: str, arguments: dict[str, str]) -> Page:
         ready = self._members.own.state is MemberState.READY
--- a/packages/fleet/src/teaselledge_fleet/process/spreading.py
+++ b/packages/fleet/src/teaselledge_fleet/process/spreading.py
@@ -100,6 +100,10 @@
         """Datagrams that were no pulses."""
         return self._socket.malformed
 
+    def use_seeds(self, seeds: Iterable[str]) -> None:
+        """Take other seeds."""
+        self._seeds = tuple(seeds)
+
     async def listen(self, host: str, port: int) -> None:
         """Open the socket."""
         await self._socket.listen(host, port)
