--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -19,11 +19,13 @@
     shared_tokens,
 )
 from teaselledge_fleet.process.reading import reading_seconds
+from teaselledge_fleet.process.replicas import Footprint
 from teaselledge_fleet.process.results import Results
 from teaselledge_fleet.process.shares import OrganisationShares
 from teaselledge_fleet.process.work import FleetWork
 from teaselledge_fleet.request.call import Prompt
 from teaselledge_fleet.request.serving import Journey, Outcome, Placement
+from teaselledge_fleet.version.routes import Routing
 
 __all__ = ["FleetPlacer"]
 
@@ -116,6 +118,8 @@
         Size of request and answer.
     homes : list of Endpoint
         Engines in the order in which they should keep the part.
+    copies : int
+        How many of them should keep it.
     """
 
     part: str | None
@@ -123,6 +127,11 @@
     reading: float
     kilobytes: float
     homes: list[Endpoint]
+    copies: int
+
+    def keeps(self, endpoint: Endpoint) -> bool:
+        """Return whether an engine is one of those that should keep the part."""
+        return any(endpoint is home for home in self.homes[: self.copies])
 
 
 @dataclass(frozen=True)
@@ -152,8 +161,18 @@
         self._parts = PartPlaces()
         self._results = Results()
         self._plain = PlainForecast()
+        self._footprint = Footprint()
+        self._memory: dict[str, int] = {}
         self._sent: dict[tuple[str, str], _Sent] = {}
 
+    def use(self, routing: Routing) -> None:
+        """Take a version of the configuration."""
+        self._memory = {
+            name: service.engine.memory_tokens
+            for name, service in routing.services.items()
+            if service.engine is not None
+        }
+
     async def place(self, journey: Journey) -> Result[Placement, Fault]:
         """Return the endpoint for the next attempt."""
         prompt = journey.call.prompt
@@ -254,21 +273,24 @@
         shared = shared_tokens(prompt) if part is not None else 0
         reading = reading_seconds(prompt.tokens, prompt.tokens - shared)
         homes = ranked(part or journey.call.id, endpoints)
-        wish = _Wish(part, shared, reading, kilobytes, homes)
+        copies = 1
+        if part is not None:
+            self._footprint.note(part, shared)
+            memory = self._memory.get(journey.service, 0)
+            copies = self._footprint.copies(len(endpoints), memory)
+        wish = _Wish(part, shared, reading, kilobytes, homes, copies)
         return [self._engine_candidate(e, journey, wish) for e in homes]
 
     def _engine_candidate(
         self, endpoint: Endpoint, journey: Journey, wish: _Wish
     ) -> _Candidate:
         extra, source = 0.0, None
-        home = wish.homes[0]
-        if wish.part is not None and endpoint is not home:
-            if not self._parts.keeps(endpoint.id, wish.part):
+        if wish.part is not None and len(wish.homes) > 1:
+            # nothing is copied where the engine keeps the part already
+            source = wish.homes[1 if endpoint is wish.homes[0] else 0]
+            kept = wish.keeps(endpoint) or self._parts.keeps(endpoint.id, wish.part)
+            if not kept:
                 extra = FETCH_SECONDS + wish.shared * COPY_SECONDS_PER_TOKEN
-            source = home
-        elif wish.part is not None and len(wish.homes) > 1:
-            # it may have become the first choice just now
-            source = wish.homes[1]
         work = self._work.total(endpoint.id)
         wait = engine_wait(work, endpoint.slots)
         cost = extra + self._detour(endpoint, journey, wish.kilobytes, wait)
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -191,6 +191,7 @@
         routing = self._belief.routing
         if routing is None:
             return
+        self._placer.use(routing)
         routers = len(self._members.others) + 1
         caps = {}
         for endpoint in self._belief.view.endpoints:
