--- a/packages/fleet/src/teaselledge_fleet/process/addresses.py
+++ b/packages/fleet/src/teaselledge_fleet/process/addresses.py
@@ -8,7 +8,7 @@
 __all__ = ["addresses_for"]
 
 ENOUGH = 2
-"""Routers in the caller's own zone from which on no others are named.
+"""Least routers in an answer, where there are as many.
 
 With one alone, its loss would leave the caller without any until it asks again.
 """
@@ -16,24 +16,81 @@
 MOST = 64
 """Addresses in one answer that callers read."""
 
+EASY = 0.55
+"""Part of its processor time up to which a zone's routers take all its callers.
+
+Beyond it callers are sent to other zones too, so that the zone stays at about 0.75
+when it is asked for a fifth more than it can do. Streams are passed on late by a
+router that is used up.
+"""
+
+MOST_ELSEWHERE = 0.8
+"""Largest part of the addresses that are in other zones."""
+
+ALIKE = 1.5
+"""Routers whose room differs by less are all named; they share callers evenly."""
+
+LEAST_SPARE = 0.05
+"""Part of its cores that a router counts with, however busy it is."""
+
 
 def addresses_for(
     ready: Sequence[Member], zones: Mapping[str, str], zone: str, region: str
 ) -> list[str]:
-    """Return the addresses of the nearest routers that take requests.
+    """Return the addresses of routers that take requests, nearest first.
 
-    Callers pick one at random for each connection, so naming only the nearest
-    keeps their traffic inside the zone and spreads it evenly there.
+    Callers pick one at random for each connection. So the nearest are named, those
+    with more room more often, and others as far as the nearest are busy.
     """
     region = region or zones.get(zone, "")
-    rings = [
-        [m for m in ready if m.zone == zone],
+    near = [m for m in ready if m.zone == zone]
+    chosen = _sample(near, _count(near))
+    missing = max(ENOUGH - len(chosen), _elsewhere(near, len(chosen)))
+    for ring in (
         [m for m in ready if m.zone != zone and m.region == region],
         [m for m in ready if m.zone != zone and m.region != region],
-    ]
-    chosen: list[Member] = []
-    for ring in rings:
-        chosen += random.sample(ring, len(ring))
-        if len(chosen) >= ENOUGH:
-            break
+    ):
+        added = _sample(ring, min(missing, len(ring)))
+        chosen += added
+        missing -= len(added)
     return [member.callers for member in chosen[:MOST]]
+
+
+def _spare(member: Member) -> float:
+    return member.cores * max(LEAST_SPARE, 1.0 - member.busy)
+
+
+def _busy(members: Sequence[Member]) -> float:
+    """Return which part of all their processor time routers use."""
+    cores = sum(member.cores for member in members)
+    return sum(m.cores * m.busy for m in members) / cores if cores else 0.0
+
+
+def _count(members: Sequence[Member]) -> int:
+    """Return how many of a zone's routers one answer names.
+
+    Where they differ, each answer names half of them, drawn by room: over many
+    answers a router is named, and picked, as often as its room allows.
+    """
+    if len(members) <= ENOUGH:
+        return len(members)
+    spares = [_spare(member) for member in members]
+    if max(spares) < ALIKE * min(spares):
+        return len(members)
+    return max(ENOUGH, len(members) // 2)
+
+
+def _elsewhere(near: Sequence[Member], named: int) -> int:
+    """Return how many routers of other zones to name beside those of the own."""
+    busy = _busy(near)
+    if busy <= EASY:
+        return 0
+    part = min(MOST_ELSEWHERE, (busy - EASY) / busy)
+    return round(named * part / (1 - part) + random.random() - 0.5)
+
+
+def _sample(members: Sequence[Member], count: int) -> list[Member]:
+    """Draw routers by their room, without repeating any."""
+    keyed = [(random.random() ** (1 / _spare(m)), m) for m in members]
+    keyed.sort(key=lambda pair: pair[0], reverse=True)
+    return [member for _, member in keyed[:count]]
--- a/packages/fleet/src/teaselledge_fleet/process/members.py
+++ b/packages/fleet/src/teaselledge_fleet/process/members.py
@@ -1,7 +1,7 @@
 """Which routers there are, and which of them answer."""
 
 import asyncio
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from enum import IntEnum
 
 from teaselledge_wire.gen.fleet.ttypes import RouterInfo
@@ -24,6 +24,10 @@
 """Silence after which a router is forgotten, unless it is heard of again."""
 
 
+MILLICORES = 1000
+PERCENT = 100
+
+
 class MemberState(IntEnum):
     """What a router says of itself."""
 
@@ -48,6 +52,10 @@
         Addresses, ``host:port``.
     state : MemberState
         What it says of itself.
+    cores : float
+        Processor time that it may use each second.
+    busy : float
+        Part of it that is in use.
     """
 
     vm: str
@@ -57,6 +65,8 @@
     callers: str
     peers: str
     state: MemberState = MemberState.STARTING
+    cores: float = 1.0
+    busy: float = field(default=0.0, compare=False)
 
     @classmethod
     def from_wire(cls, info: RouterInfo) -> "Member":
@@ -69,6 +79,8 @@
             info.callers or "",
             info.peers or "",
             MemberState(info.state or 0),
+            (info.cores or MILLICORES) / MILLICORES,
+            (info.busy or 0) / PERCENT,
         )
 
     def to_wire(self) -> RouterInfo:
@@ -81,6 +93,8 @@
             self.callers,
             self.peers,
             int(self.state),
+            int(self.cores * MILLICORES),
+            int(self.busy * PERCENT),
         )
 
 
@@ -144,6 +158,10 @@
         """Change what this router says of itself."""
         self._own = replace(self._own, state=state)
 
+    def set_busy(self, busy: float) -> None:
+        """Change how busy this router says it is."""
+        self._own = replace(self._own, busy=busy)
+
     def hear(self, member: Member) -> bool:
         """Take what a router says of itself; True where it is new or has changed."""
         if member.vm == self._own.vm:
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -13,6 +13,7 @@
 from teaselledge_fleet.process.addresses import addresses_for
 from teaselledge_fleet.process.belief import Belief, Decode
 from teaselledge_fleet.process.budget import RepeatBudget, RepeatLimits
+from teaselledge_fleet.process.busyness import Busyness
 from teaselledge_fleet.process.following import StoreFollower
 from teaselledge_fleet.process.leaving import Leaving
 from teaselledge_fleet.process.members import Member, Members, MemberState
@@ -37,6 +38,9 @@
 callers. Asking twice a second costs a caller 400 bytes a second.
 """
 
+BUSY_SECONDS = 0.2
+"""Time between two changes of what this router says of its load."""
+
 CONNECTIONS_KEPT = 0.7
 """Part of the connections that an endpoint accepts that all routers keep open together.
 The rest is for requests that come while all of them are busy."""
@@ -94,8 +98,10 @@
             place.region,
             settings.listeners.callers,
             settings.listeners.peers,
+            cores=settings.cores,
         )
         self._members = Members(own)
+        self._busyness = Busyness(settings.cores)
         self._belief = Belief(place.vm, decode)
         self._pool = ConnectionPool()
         self._budget = RepeatBudget(_limits(settings))
@@ -141,6 +147,8 @@
             asyncio.create_task(self._spreading.run()),
             asyncio.create_task(self._follower.run()),
             asyncio.create_task(self._registration.run()),
+            asyncio.create_task(self._busyness.run()),
+            asyncio.create_task(self._tell_busy()),
         ]
         _log.info("router started", vm=self._settings.place.vm)
 
@@ -169,6 +177,11 @@
         self._spreading.close()
         _log.info("router stopped", running=self._front.running)
 
+    async def _tell_busy(self) -> None:
+        while True:
+            self._members.set_busy(self._busyness.busy)
+            await asyncio.sleep(BUSY_SECONDS)
+
     def _listen(self, address: str, answer: "object") -> None:
         server = PageServer(answer)  # type: ignore[arg-type]
         server.listen(*_split(address))
--- a/packages/wire/fleet.thrift
+++ b/packages/wire/fleet.thrift
@@ -10,6 +10,9 @@
   5: string callers,
   6: string peers,
   7: i8 state,
+  // thousandths of a core that it may use, and the part in use in percent
+  8: i32 cores,
+  9: i8 busy,
 }
 
 // An endpoint's entry as of a revision of the store.
--- a/packages/wire/src/teaselledge_wire/gen/fleet/ttypes.py
+++ b/packages/wire/src/teaselledge_wire/gen/fleet/ttypes.py
@@ -26,6 +26,8 @@
      - callers
      - peers
      - state
+     - cores
+     - busy
 
     """
 
@@ -37,10 +39,12 @@
         'callers',
         'peers',
         'state',
+        'cores',
+        'busy',
     )
 
 
-    def __init__(self, vm=None, incarnation=None, zone=None, region=None, callers=None, peers=None, state=None,):
+    def __init__(self, vm=None, incarnation=None, zone=None, region=None, callers=None, peers=None, state=None, cores=None, busy=None,):
         self.vm = vm
         self.incarnation = incarnation
         self.zone = zone
@@ -48,6 +52,8 @@
         self.callers = callers
         self.peers = peers
         self.state = state
+        self.cores = cores
+        self.busy = busy
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -93,6 +99,16 @@
                     self.state = iprot.readByte()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.cores = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BYTE:
+                    self.busy = iprot.readByte()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -131,6 +147,14 @@
             oprot.writeFieldBegin('state', TType.BYTE, 7)
             oprot.writeByte(self.state)
             oprot.writeFieldEnd()
+        if self.cores is not None:
+            oprot.writeFieldBegin('cores', TType.I32, 8)
+            oprot.writeI32(self.cores)
+            oprot.writeFieldEnd()
+        if self.busy is not None:
+            oprot.writeFieldBegin('busy', TType.BYTE, 9)
+            oprot.writeByte(self.busy)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -718,6 +742,8 @@
     (5, TType.STRING, 'callers', 'UTF8', None, ),  # 5
     (6, TType.STRING, 'peers', 'UTF8', None, ),  # 6
     (7, TType.BYTE, 'state', None, None, ),  # 7
+    (8, TType.I32, 'cores', None, None, ),  # 8
+    (9, TType.BYTE, 'busy', None, None, ),  # 9
 )
 all_structs.append(EndpointState)
 EndpointState.thrift_spec = (
