--- a/packages/fleet/src/teaselledge_fleet/process/spreading.py
+++ b/packages/fleet/src/teaselledge_fleet/process/spreading.py
@@ -58,6 +58,9 @@
 
 ELSEWHERE_SOURCE = "elsewhere"
 
+STARTING_SECONDS = 3.0
+"""Time after its start in which a router may not know all others yet."""
+
 FETCH_PAUSE = 0.4
 """Least time between two fetches of a whole state."""
 
@@ -82,6 +85,7 @@
         self._socket = PeerSocket(self._hear)
         self._client = StateClient()
         self._sequence = 0
+        self._started = asyncio.get_running_loop().time()
         self._told: list[tuple[Entry, int]] = []
         self._next_fetch = 0.0
         self._heard_zones: set[str] = set()
@@ -123,6 +127,7 @@
 
     def pulse(self) -> None:
         """Send a pulse to each router that is to be told."""
+        self._note_unheard()
         changes = self._next_changes()
         self._sequence += 1
         for audience in self._topology.audiences():
@@ -162,6 +167,24 @@
         self._socket.close()
         self._client.close()
 
+    def _note_unheard(self) -> None:
+        """Tell how many routers there are for each whose work is known.
+
+        When all routers start at the same time, each of them sees idle engines until
+        it hears the others, and together they send the engines nine times what they
+        can read. So those that are not heard yet count like those that are.
+        """
+        members = self._members
+        others, answering = members.others, members.answering
+        if not self._topology.flat:
+            zone = members.own.zone
+            others = [m for m in others if m.zone == zone]
+            answering = [m for m in answering if m.zone == zone]
+        known, heard = len(others) + 1, len(answering) + 1
+        starting = asyncio.get_running_loop().time() - self._started < STARTING_SECONDS
+        missing = starting or 2 * heard < known
+        self._work.unheard = known / heard if missing else 1.0
+
     def _next_changes(self) -> list[EndpointState]:
         """Return the changes to be told now."""
         self._told += [(entry, REPEATED) for entry in self._belief.take_changes()]
@@ -220,6 +243,7 @@
         sender = Member.from_wire(pulse.sender)
         if sender.vm == self._members.own.vm:
             return
+        self._note_unheard()
         if self._members.hear(sender):
             _log.info(
                 "router heard",
--- a/packages/fleet/src/teaselledge_fleet/process/work.py
+++ b/packages/fleet/src/teaselledge_fleet/process/work.py
@@ -62,6 +62,8 @@
     def __init__(self) -> None:
         self._own: defaultdict[str, Work] = defaultdict(Work)
         self._told: dict[str, _Told] = {}
+        self.unheard = 1.0
+        """Routers there are for each one whose work is known, this one included."""
 
     def own(self, endpoint: str) -> Work:
         """Return what this router has at an endpoint, to be changed in place."""
@@ -76,7 +78,7 @@
             work = told.work.get(key)
             if work is not None and told.at >= oldest:
                 total = total + work
-        return total
+        return Work(round(total.running * self.unheard), total.reading * self.unheard)
 
     def keep(self, endpoints: Iterable[str]) -> None:
         """Forget endpoints that are gone and at which nothing runs."""
--- a/packages/fleet/tests/test_spreading.py
+++ b/packages/fleet/tests/test_spreading.py
@@ -197,3 +197,21 @@
         await asyncio.sleep(10)
         assert len({router.belief.view.digest for router in fleet.routers}) == 1
     assert store.calls <= 40
+
+
+async def test_routers_that_are_not_heard_yet_count_like_the_others():
+    """All routers are killed and start at the same time.
+
+    Each sees idle engines until it hears the others. Together they would send the
+    engines many times what they can read, and every caller would be late.
+    """
+    store = new_store()
+    async with spread_fleet(store, ROUTERS, decode) as fleet:
+        await asyncio.sleep(5)
+        router = fleet.routers[0]
+        router.work.own("e1").running = 2
+        assert router.work.total("e1").running == 2
+        for other in fleet.routers[1:]:
+            other.kill()
+        await asyncio.sleep(3)
+        assert router.work.total("e1").running == 2 * ROUTERS
