Introduce newcomers to the routers of their zone

Cause: in fleets of more than 12 routers seeds tell their own zones only, so routers of other zones never heard of one another: of 62 started together 28 knew nobody (virtual clock), and named only themselves to callers. Ruled out: unequal machines (addresses by room changed nothing). A pulse from an unknown router is now answered with names of its zone, rows are read once at each start, and a router whose loop was held up names nobody. The new test fails without the answer.

--- a/packages/fleet/src/teaselledge_fleet/connection/endpoint.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/endpoint.py
@@ -161,11 +161,11 @@
 
     def cancel(self) -> None:
         """Drop the exchange and its connection; the endpoint stops its work."""
-        if self._ended:
-            return
         self._dropped = True
-        self._connection.close()
-        # the reading task must not wait for a reader that has gone
+        if not self._ended:
+            self._connection.close()
+        # the reading task must not wait for a reader that has gone, also with the
+        # last part of a whole answer
         while not self._parts.empty():
             self._parts.get_nowait()
 
--- a/packages/fleet/src/teaselledge_fleet/process/busyness.py
+++ b/packages/fleet/src/teaselledge_fleet/process/busyness.py
@@ -9,6 +9,13 @@
 WEIGHT = 0.15
 """Weight of the latest tick: the figure follows within half a second."""
 
+HELD_UP_SECONDS = 0.5
+"""A tick that is so late means that pulses of others waited unread, half as long as
+makes a router look silent."""
+
+HELD_UP_MEMORY_SECONDS = 0.5
+"""Time in which the pulses that waited are read, and new ones come."""
+
 LAG_SECONDS = 0.2
 """Lateness of a tick at which the router counts as busy all the time.
 
@@ -30,6 +37,15 @@
         self._cores = max(0.01, cores)
         self._used = 0.0
         self._lag = 0.0
+        self._late_until = 0.0
+
+    @property
+    def late(self) -> bool:
+        """Whether the event loop was held up just now.
+
+        Messages of other routers then wait unread, and all of them look silent.
+        """
+        return asyncio.get_running_loop().time() < self._late_until
 
     @property
     def busy(self) -> float:
@@ -45,6 +61,8 @@
             now, spent = loop.time(), time.process_time()
             elapsed = max(TICK_SECONDS, now - wall)
             self._note(elapsed, spent - used)
+            if elapsed > HELD_UP_SECONDS:
+                self._late_until = now + HELD_UP_MEMORY_SECONDS
             wall, used = now, spent
 
     def _note(self, elapsed: float, spent: float) -> None:
--- a/packages/fleet/src/teaselledge_fleet/process/members.py
+++ b/packages/fleet/src/teaselledge_fleet/process/members.py
@@ -154,6 +154,10 @@
         everyone = [*others, self._own]
         return [m for m in everyone if m.state is MemberState.READY]
 
+    def knows(self, vm: str) -> bool:
+        """Return whether a router is known, silent or not."""
+        return vm in self._known or vm == self._own.vm
+
     def set_state(self, state: MemberState) -> None:
         """Change what this router says of itself."""
         self._own = replace(self._own, state=state)
--- a/packages/fleet/src/teaselledge_fleet/process/registration.py
+++ b/packages/fleet/src/teaselledge_fleet/process/registration.py
@@ -35,15 +35,17 @@
         self._written = False
 
     async def run(self) -> None:
-        """Write the row, and read all rows while this router is alone."""
+        """Write the row, and read all rows then and while this router is alone."""
         pause = FIRST_PAUSE
         while not await self._write():
             await asyncio.sleep(pause * random.uniform(0.7, 1.3))
             pause = min(LONGEST_PAUSE, 2 * pause)
+        # of two that start together, the later writer sees the other's row
+        await self._read()
         while True:
+            await asyncio.sleep(LONELY_SECONDS)
             if not self._members.answering:
                 await self._read()
-            await asyncio.sleep(LONELY_SECONDS)
 
     async def withdraw(self) -> None:
         """Remove the row."""
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -221,6 +221,9 @@
     def _answer_addresses(self, path: str, arguments: dict[str, str]) -> Page:
         if path != self._pages.addresses_path:
             return Page(404)
+        if self._busyness.late:
+            # it can't tell who is silent; another router answers better
+            return Page(503)
         zone, region = self._pages.place_asked(arguments)
         found = addresses_for(self._members.ready, self._settings.zones, zone, region)
         if not found:
--- a/packages/fleet/src/teaselledge_fleet/process/spreading.py
+++ b/packages/fleet/src/teaselledge_fleet/process/spreading.py
@@ -43,6 +43,9 @@
 RUMOURS = 2
 """Other routers named in some pulses."""
 
+INTRODUCED = 8
+"""Routers of its zone that a newcomer is told of."""
+
 RUMOUR_EVERY = 4
 """Pulses of which one names other routers; each name takes 90 bytes."""
 
@@ -150,7 +153,7 @@
             belief.view.digest,
             _milliseconds(belief.age),
             [_to_wire(entry) for entry in belief.view],
-            [member.to_wire() for member in self._members.answering],
+            [member.to_wire() for member in self._members.others],
         )
 
     async def learn_from(self, address: str) -> bool:
@@ -244,6 +247,8 @@
         if sender.vm == self._members.own.vm:
             return
         self._note_unheard()
+        if not self._members.knows(sender.vm):
+            self._introduce(sender)
         if self._members.hear(sender):
             _log.info(
                 "router heard",
@@ -268,6 +273,18 @@
         if self._behind(pulse):
             self._fetch(sender)
 
+    def _introduce(self, newcomer: Member) -> None:
+        """Answer a router that is not known, and name routers of its zone.
+
+        It may know nobody but seeds, which tell their own zones only. Unheard in its
+        zone it would take no callers, and names none but itself to those who ask.
+        """
+        mates = [m for m in self._members.others if m.zone == newcomer.zone]
+        pulse = self._make(Scope.OWN, [])
+        named = random.sample(mates, min(INTRODUCED, len(mates)))
+        pulse.others = [member.to_wire() for member in named]
+        self._socket.send(newcomer.peers, pulse)
+
     def _hear_figures(self, sender: Member, pulse: Pulse) -> None:
         scope = pulse.scope or Scope.OWN
         source = sender.vm
--- a/packages/fleet/tests/test_spreading.py
+++ b/packages/fleet/tests/test_spreading.py
@@ -215,3 +215,18 @@
             other.kill()
         await asyncio.sleep(3)
         assert router.work.total("e1").running == 2 * ROUTERS
+
+
+async def test_routers_of_a_zone_find_one_another_through_seeds_of_other_zones():
+    """Many routers start at once, and know three seeds in other zones only.
+
+    Seeds speak to their own zones. A router that nobody hears gets no callers, and
+    sends those that ask it to itself alone.
+    """
+    async with spread_fleet(new_store(), MANY, decode, zones=6) as fleet:
+        await asyncio.sleep(5)
+        for router in fleet.routers:
+            own = router.members.own.zone
+            mates = [r.vm for r in fleet.routers if r.members.own.zone == own]
+            ready = [m.vm for m in router.members.ready if m.zone == own]
+            assert sorted(ready) == sorted(mates)
--- a/packages/standins/src/teaselledge_standins/spreadfleet.py
+++ b/packages/standins/src/teaselledge_standins/spreadfleet.py
@@ -130,14 +130,14 @@
 
 @asynccontextmanager
 async def spread_fleet(
-    store: MemoryStateStore, count: int, decode: Decode
+    store: MemoryStateStore, count: int, decode: Decode, zones: int = 3
 ) -> AsyncIterator[SpreadFleet]:
     """Run so many routers, of which three are seeds."""
     random.seed(count)
     fleet = SpreadFleet(store)
     seeds = [f"r{number:03}:1" for number in range(min(3, count))]
     for number in range(count):
-        fleet.start(f"r{number:03}", f"z{number % 3}", decode, seeds)
+        fleet.start(f"r{number:03}", f"z{number % zones}", decode, seeds)
     try:
         yield fleet
     finally:
