Tell why a process of a test fleet did not come up, and choose ports that stay free

Cause of the finding that a router never listened for 60 s: its port was chosen among those of outgoing connections and could be taken before the router bound it; the router ended and nobody printed why.

--- a/packages/standins/src/teaselledge_standins/processes.py
+++ b/packages/standins/src/teaselledge_standins/processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import secrets
 import signal
 import socket
 import subprocess
@@ -17,7 +18,7 @@
 
 from teaselledge_standins.caller import Caller
 
-__all__ = ["ProcessFleet", "running_processes"]
+__all__ = ["ProcessEndedError", "ProcessFleet", "running_processes"]
 
 ROUTERS = {"r1": "north-a", "r2": "north-b"}
 REGION = "north"
@@ -26,13 +27,31 @@
 ADMIN_KEY = "key-of-admin"
 
 
+PORTS = range(10_000, 30_000)
+"""Ports to choose from. They are below those that the system gives to outgoing
+connections: one of these could take a port between its choice here and its use."""
+
+
+class ProcessEndedError(Exception):
+    """A process of the fleet ended before it was ready."""
+
+
 def free_ports(count: int) -> list[int]:
     """Return ports on loopback that are free now."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
+    chosen: list[int] = []
+    while len(chosen) < count:
+        port = secrets.choice(PORTS)
+        if port not in chosen and _is_free(port):
+            chosen.append(port)
+    return chosen
+
+
+def _is_free(port: int) -> bool:
+    try:
+        socket.create_server(("127.0.0.1", port)).close()
+    except OSError:
+        return False
+    return True
 
 
 def digest(key: str) -> str:
@@ -120,6 +139,7 @@
         caller = Caller("")
         async with asyncio.timeout(READY_SECONDS):
             while True:
+                self.check_alive()
                 reply = await caller.call(self.callers[name], "GET", "/readyz")
                 if reply.status == 200:  # noqa: PLR2004
                     return
@@ -133,11 +153,24 @@
                 try:
                     _, writer = await asyncio.open_connection(host, int(port))
                 except OSError:
+                    self.check_alive()
                     await asyncio.sleep(0.05)
                     continue
                 writer.close()
                 return
 
+    def check_alive(self) -> None:
+        """Raise with its exit code and output if a process ended with an error.
+
+        Otherwise a test waits until its time is over for a process that will never
+        listen, and nothing tells why.
+        """
+        for name, process in self.processes.items():
+            code = process.poll()
+            if code is not None and code > 0:
+                text = (self.folder / f"{name}.log").read_text(errors="replace")
+                raise ProcessEndedError(f"{name} ended with {code}:\n{text[-4000:]}")
+
     def stop(self) -> None:
         """Kill what still runs."""
         for process in self.processes.values():
--- /dev/null
+++ b/tools/spread_cost.py
@@ -0,0 +1,97 @@
+"""Measure what telling one another costs routers, by size of the fleet.
+
+``python tools/spread_cost.py`` prints a line a size: bytes sent a router and second,
+at the mean and at the busiest router, calls to the store a second, and the time until
+a change is known everywhere. The routers are the real ones, in one process, with a
+virtual clock and a network that takes 20 ms.
+"""
+
+import asyncio
+import random
+
+import loguru
+import looptime
+from teaselledge_fleet.process.endpoints import Endpoint
+from teaselledge_fleet.version.routes import Routing
+from teaselledge_standins.spreadfleet import SpreadFleet, spread_fleet
+from teaselledge_standins.statestore import MemoryStateStore
+
+SIZES = ((9, 3, 8), (40, 6, 45), (89, 6, 51), (370, 21, 2900))
+"""Routers, zones and endpoints."""
+
+BUSY_ENDPOINTS = 12
+"""Endpoints at which a router has work: 10 requests a second that last 1.5 s."""
+
+ORGANISATIONS = 30
+SETTLE_SECONDS = 8.0
+MEASURED_SECONDS = 8.0
+STEP_SECONDS = 0.02
+
+
+def decode(data: bytes) -> Routing | None:
+    """Read a version number."""
+    return Routing(int(data), (), {}, ())
+
+
+def new_store(endpoints: int) -> MemoryStateStore:
+    """Return a store with a configuration and entries."""
+    store = MemoryStateStore()
+    store.configure(b"1")
+    for number in range(endpoints):
+        address = f"10.0.{number // 250}.{number % 250}:8080"
+        store.put(Endpoint(f"i-{number:010x}", "books", address, "z0", 48))
+    return store
+
+
+def load(fleet: SpreadFleet, endpoints: int) -> None:
+    """Give each router work and use to tell of."""
+    for router in fleet.routers:
+        for number in random.sample(range(endpoints), min(BUSY_ENDPOINTS, endpoints)):
+            work = router.work.own(f"i-{number:010x}")
+            work.running, work.reading = 2, 0.1
+        for number in random.sample(range(ORGANISATIONS), ORGANISATIONS // 2):
+            router.spreading._shares.ask(f"organisation-{number}", 20_000)
+
+
+async def measure(routers: int, zones: int, endpoints: int) -> str:
+    """Return the line of one size."""
+    loop = asyncio.get_running_loop()
+    store = new_store(endpoints)
+    async with spread_fleet(store, routers, decode, zones) as fleet:
+        await asyncio.sleep(SETTLE_SECONDS)
+        load(fleet, endpoints)
+        before = [router.link.sent_bytes for router in fleet.routers]
+        store.calls = 0
+        await asyncio.sleep(MEASURED_SECONDS)
+        sent = [
+            (router.link.sent_bytes - start) / MEASURED_SECONDS
+            for router, start in zip(fleet.routers, before, strict=True)
+        ]
+        calls = store.calls / MEASURED_SECONDS
+        store.configure(b"2")
+        changed = loop.time()
+        while any(router.belief.version < 2 for router in fleet.routers):  # noqa: PLR2004
+            await asyncio.sleep(STEP_SECONDS)
+        spread = loop.time() - changed
+    return (
+        f"{routers:>7} {zones:>5} {endpoints:>9} {sum(sent) / routers:>9.0f} "
+        f"{max(sent):>9.0f} {calls:>7.1f} {spread:>8.2f}"
+    )
+
+
+def new_loop() -> asyncio.AbstractEventLoop:
+    """Return a loop whose time moves on as soon as nothing is ready."""
+    return looptime.new_event_loop(start=0)
+
+
+def main() -> None:
+    """Print the table."""
+    loguru.logger.remove()
+    print("routers zones endpoints  mean B/s  most B/s calls/s change s")
+    for size in SIZES:
+        with asyncio.Runner(loop_factory=new_loop) as runner:
+            print(runner.run(measure(*size)), flush=True)
+
+
+if __name__ == "__main__":
+    main()
