--- a/packages/fleet/src/teaselledge_fleet/faults.py
+++ b/packages/fleet/src/teaselledge_fleet/faults.py
@@ -17,6 +17,7 @@
     NO_ROUTE = "no-route"
     NOT_CONFIGURED = "not-configured"
     LEAVING = "leaving"
+    ROUTER_BUSY = "router-busy"
     NO_ENDPOINT = "no-endpoint"
     OVER_CAPACITY = "over-capacity"
     OVER_SHARE = "over-share"
@@ -49,6 +50,7 @@
     FaultKind.NO_ROUTE: Answer(404, "No route leads there"),
     FaultKind.NOT_CONFIGURED: Answer(503, "The router has no configuration yet"),
     FaultKind.LEAVING: Answer(503, "This router is leaving"),
+    FaultKind.ROUTER_BUSY: Answer(503, "This router is held up"),
     FaultKind.NO_ENDPOINT: Answer(503, "No endpoint can be reached"),
     FaultKind.OVER_CAPACITY: Answer(503, "No endpoint has room"),
     FaultKind.OVER_SHARE: Answer(429, "The organisation is over its share"),
--- a/packages/fleet/src/teaselledge_fleet/request/serving.py
+++ b/packages/fleet/src/teaselledge_fleet/request/serving.py
@@ -1,6 +1,7 @@
 """Run one request: find its route, place it, send it, pass the answer on."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum, auto
 from typing import Protocol
@@ -33,6 +34,15 @@
 PROMISES = frozenset({408, 421, 429, 503})
 """Statuses that promise that a request has not run."""
 
+LEAVING_RETRY_SECONDS = 0.05
+"""Another router can take the request now."""
+
+STARTING_RETRY_SECONDS = 0.15
+"""A router that starts has a configuration after 0.1 to 0.3 s."""
+
+BUSY_RETRY_SECONDS = 0.2
+"""The caller tries another router; half of the time for which this one refuses."""
+
 HAND_OVER_SECONDS = 0.02
 """Taken off the time given to an endpoint, for the way of its answer back."""
 
@@ -158,6 +168,10 @@
         The configuration in force.
     leaving : bool
         Whether new requests are refused because the router is about to stop.
+    late : callable
+        Whether the router's own work is held up. It then refuses at once: what it
+        took would reach an engine after its caller has left, and the work on it
+        would hold up the next.
     """
 
     def __init__(
@@ -175,6 +189,7 @@
         self._metrics = metrics or FleetMetrics()
         self.routing: Routing | None = None
         self.leaving = False
+        self.late: Callable[[], bool] = lambda: False
 
     async def serve(self, incoming: Incoming, sink: CallerSink) -> None:
         """Run a request and answer it."""
@@ -192,9 +207,11 @@
     def _admit(self, call: Call, incoming: Incoming) -> Result[Journey, Fault]:
         routing = self.routing
         if routing is None:
-            return Error(Fault(FaultKind.NOT_CONFIGURED, 0.15))
+            return Error(Fault(FaultKind.NOT_CONFIGURED, STARTING_RETRY_SECONDS))
         if self.leaving:
-            return Error(Fault(FaultKind.LEAVING, 0.05))
+            return Error(Fault(FaultKind.LEAVING, LEAVING_RETRY_SECONDS))
+        if self.late():
+            return Error(Fault(FaultKind.ROUTER_BUSY, BUSY_RETRY_SECONDS))
         route = routing.route_of(call.host, call.path)
         if route is None:
             return Error(Fault(FaultKind.NO_ROUTE))
--- /dev/null
+++ b/packages/fleet/tests/test_busyness.py
@@ -0,0 +1,47 @@
+"""Tests of how a router notices that it is used up."""
+
+import asyncio
+import time
+from contextlib import suppress
+
+from teaselledge_fleet.process.busyness import HELD_UP_SECONDS, Busyness
+
+
+async def measured(work: float, pause: float) -> Busyness:
+    """Work and pause by turns for a second."""
+    busyness = Busyness(1.0)
+    task = asyncio.create_task(busyness.run())
+    end = time.monotonic() + 1.0
+    while time.monotonic() < end:
+        spin = time.process_time() + work
+        while time.process_time() < spin:
+            pass
+        await asyncio.sleep(pause)
+    task.cancel()
+    with suppress(asyncio.CancelledError):
+        await task
+    return busyness
+
+
+async def test_an_idle_router_is_not_busy():
+    busyness = await measured(0.0, 0.05)
+    assert busyness.busy < 0.3
+    assert not busyness.late
+
+
+async def test_a_router_that_works_all_the_time_is_busy():
+    busyness = await measured(0.05, 0.0)
+    assert busyness.busy > 0.3
+
+
+async def test_a_loop_that_was_held_up_is_late():
+    """Something keeps the loop for long, and pulses of others wait unread."""
+    busyness = Busyness(1.0)
+    task = asyncio.create_task(busyness.run())
+    await asyncio.sleep(0.15)
+    time.sleep(HELD_UP_SECONDS + 0.2)  # noqa: ASYNC251
+    await asyncio.sleep(0.05)
+    assert busyness.late
+    await asyncio.sleep(0.7)
+    assert not busyness.late
+    task.cancel()
--- a/packages/fleet/tests/test_serving.py
+++ b/packages/fleet/tests/test_serving.py
@@ -293,3 +293,18 @@
     assert (unknown.status, known.status, elsewhere.status) == (401, 200, 404)
     assert endpoint.received[0].headers["x-organisation"] == "cellar"
     assert "authorization" not in endpoint.received[0].headers
+
+
+async def test_a_router_that_is_held_up_refuses_at_once():
+    """A router's processor is used up, and its work runs seconds late.
+
+    A request would reach an engine after its caller has given up.
+    """
+    async with ScriptedEndpoint(sends(GOOD)) as endpoint:
+        route = make_route(Repeat.NEVER)
+        async with serving(route, endpoint.address) as served:
+            served.server.late = lambda: True
+            answered = await ask(served.port, "POST", body=b"order")
+    assert answered.status == 503
+    assert 0 < float(answered.headers["retry-after"]) < 0.5
+    assert not endpoint.received
