Let the speaker of a zone tell each of its routers the sum of all others

A router tells the speaker of its zone and two others; the speaker tells each of its zone what all others have under way and who answers. Of two followers of the store that read in step, neither yielded: the later by name now does.

--- a/packages/fleet/src/teaselledge_fleet/connection/figures.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/figures.py
@@ -2,10 +2,18 @@
 
 import struct
 
+from teaselledge_fleet.process.members import Member, MemberState
 from teaselledge_fleet.process.shares import Use
-from teaselledge_fleet.process.work import Work
+from teaselledge_fleet.process.work import Work, key_of
 
-__all__ = ["pack_uses", "pack_work", "unpack_uses", "unpack_work"]
+__all__ = [
+    "pack_alive",
+    "pack_uses",
+    "pack_work",
+    "unpack_alive",
+    "unpack_uses",
+    "unpack_work",
+]
 
 WORK = struct.Struct("!IHH")
 """Endpoint, requests, and reading in milliseconds."""
@@ -13,7 +21,11 @@
 USE = struct.Struct("!III")
 """Organisation, and tokens asked for and received."""
 
+ALIVE = struct.Struct("!IBB")
+"""Router, its state, and the part of its cores in use in percent."""
+
 MILLISECONDS = 1000
+PERCENT = 100
 SHORT = 0xFFFF
 LONG = 0xFFFFFFFF
 MOST_BYTES = 1000
@@ -59,5 +71,23 @@
     }
 
 
+def pack_alive(members: list[Member]) -> bytes:
+    """Return which routers answer, as bytes."""
+    return b"".join(
+        ALIVE.pack(key_of(m.vm), int(m.state), _cut(m.busy * PERCENT, PERCENT))
+        for m in members[: MOST_BYTES // ALIVE.size]
+    )
+
+
+def unpack_alive(data: bytes) -> dict[int, tuple[MemberState, float]]:
+    """Return state and use of the routers that bytes tell of."""
+    whole = data[: len(data) - len(data) % ALIVE.size]
+    return {
+        key: (MemberState(state), busy / PERCENT)
+        for key, state, busy in ALIVE.iter_unpack(whole)
+        if state in MemberState.__members__.values()
+    }
+
+
 def _cut(number: float, most: int) -> int:
     return max(0, min(int(number), most))
--- a/packages/fleet/src/teaselledge_fleet/process/belief.py
+++ b/packages/fleet/src/teaselledge_fleet/process/belief.py
@@ -25,6 +25,10 @@
 when the store goes away.
 """
 
+YIELD_SECONDS = 1.0
+"""Age up to which another follower's reading shows that it still reads: its period of
+0.7 s and the way of its news."""
+
 GONE_KEPT = 200
 """Entries of gone endpoints that are remembered, so that old news can't revive them."""
 
@@ -117,11 +121,13 @@
         """Take another router's word on how old an equal view is."""
         if digest != self.view.digest:
             return
+        if self.follower == self._vm and age < YIELD_SECONDS and follower < self._vm:
+            # two read at the same time; the first by name goes on
+            self.follower = follower or self._vm
         as_of = self._now() - age
         if self._as_of is None or as_of > self._as_of:
             self._advance(as_of)
-            # of two that read at the same time, the first by name goes on
-            if self.follower != self._vm or follower < self._vm:
+            if self.follower != self._vm:
                 self.follower = follower
 
     def give_up_following(self) -> None:
--- a/packages/fleet/src/teaselledge_fleet/process/members.py
+++ b/packages/fleet/src/teaselledge_fleet/process/members.py
@@ -1,11 +1,14 @@
 """Which routers there are, and which of them answer."""
 
 import asyncio
+from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from enum import IntEnum
 
 from teaselledge_wire.gen.fleet.ttypes import RouterInfo
 
+from teaselledge_fleet.process.work import key_of
+
 __all__ = ["Member", "MemberState", "Members"]
 
 SILENT_SECONDS = 1.0
@@ -174,6 +177,17 @@
         self._known[member.vm] = _Known(member, self._now(), True)
         return known is None or known.member != member
 
+    def vouch(self, told: Mapping[int, tuple[MemberState, float]]) -> None:
+        """Take which routers answer the speaker of this zone, by their numbers."""
+        now = self._now()
+        for known in self._known.values():
+            found = told.get(key_of(known.member.vm))
+            if found is None:
+                continue
+            state, busy = found
+            known.member = replace(known.member, state=state, busy=busy)
+            known.heard, known.direct = now, True
+
     def rumour(self, member: Member) -> bool:
         """Take what another router says of one; True where it was unknown."""
         if member.vm == self._own.vm or member.state is MemberState.LEAVING:
--- a/packages/fleet/src/teaselledge_fleet/process/shares.py
+++ b/packages/fleet/src/teaselledge_fleet/process/shares.py
@@ -152,6 +152,10 @@
                 total[key] += use
         return dict(total)
 
+    def keep_source(self, source: str) -> None:
+        """Forget all sources but one."""
+        self._told = {name: t for name, t in self._told.items() if name == source}
+
     def hear(self, source: str, uses: dict[int, Use]) -> None:
         """Take the use that a source tells of."""
         self._told[source] = _Told(self._now(), uses)
--- a/packages/fleet/src/teaselledge_fleet/process/spreading.py
+++ b/packages/fleet/src/teaselledge_fleet/process/spreading.py
@@ -8,8 +8,10 @@
 
 from teaselledge_fleet.connection.codec import PROTOCOL
 from teaselledge_fleet.connection.figures import (
+    pack_alive,
     pack_uses,
     pack_work,
+    unpack_alive,
     unpack_uses,
     unpack_work,
 )
@@ -59,7 +61,7 @@
 SOONEST_SECONDS = 0.03
 """Least time between two pulses."""
 
-ELSEWHERE_SOURCE = "elsewhere"
+OTHERS_SOURCE = "all others"
 
 STARTING_SECONDS = 3.0
 """Time after its start in which a router may not know all others yet."""
@@ -134,7 +136,7 @@
         changes = self._next_changes()
         self._sequence += 1
         for audience in self._topology.audiences():
-            pulse = self._make(audience.scope, changes)
+            pulse = self._make(audience.scope, changes, audience.members)
             for member in audience.members:
                 self._socket.send(member.peers, pulse)
         known = {member.peers for member in self._members.others}
@@ -197,9 +199,14 @@
             self._soon.set()
         return [_to_wire(entry) for entry, _ in now]
 
-    def _make(self, scope: Scope, changes: list[EndpointState]) -> Pulse:
+    def _make(
+        self,
+        scope: Scope,
+        changes: list[EndpointState],
+        receivers: list[Member] | None = None,
+    ) -> Pulse:
         belief = self._belief
-        work, uses = self._figures(scope)
+        work, uses = self._figures(scope, receivers or [])
         return Pulse(
             PROTOCOL,
             self._members.own.to_wire(),
@@ -213,21 +220,28 @@
             pack_work(work),
             pack_uses(uses),
             [member.to_wire() for member in self._rumours(scope)],
+            pack_alive(self._mates()) if scope is Scope.OTHERS else b"",
         )
 
-    def _figures(self, scope: Scope) -> tuple[dict[int, Work], dict[int, Use]]:
+    def _mates(self) -> list[Member]:
+        """Return the other routers of this zone that answer."""
+        zone = self._members.own.zone
+        return [m for m in self._members.answering if m.zone == zone]
+
+    def _figures(
+        self, scope: Scope, receivers: list[Member]
+    ) -> tuple[dict[int, Work], dict[int, Use]]:
         """Return the work and use that a scope stands for."""
-        if scope is Scope.ELSEWHERE:
-            zones = [_zone_source(zone) for zone in self._heard_zones]
-            return self._work.from_sources(zones), self._shares.from_sources(zones)
         work, uses = self._work.own_by_key(), self._shares.own()
         if scope is Scope.OWN:
             return work, uses
-        zone = self._members.own.zone
-        mates = [m.vm for m in self._members.answering if m.zone == zone]
-        for key, each in self._work.from_sources(mates).items():
+        sources = {member.vm for member in self._mates()}
+        if scope is Scope.OTHERS:
+            sources -= {member.vm for member in receivers}
+            sources |= {_zone_source(zone) for zone in self._heard_zones}
+        for key, each in self._work.from_sources(sources).items():
             work[key] = work.get(key, Work()) + each
-        for key, use in self._shares.from_sources(mates).items():
+        for key, use in self._shares.from_sources(sources).items():
             uses[key] = uses.get(key, Use()) + use
         return work, uses
 
@@ -235,11 +249,9 @@
         """Return some routers that the receivers may not hear themselves."""
         if self._sequence % RUMOUR_EVERY:
             return []
-        own = self._members.own.zone
-        if scope is Scope.ELSEWHERE:
-            known = [m for m in self._members.ready if m.zone != own]
-        else:
-            known = self._members.answering
+        known = self._members.answering
+        if scope is Scope.OTHERS:
+            known = self._members.ready
         return random.sample(known, min(RUMOURS, len(known)))
 
     def _hear(self, pulse: Pulse) -> None:
@@ -287,25 +299,26 @@
 
     def _hear_figures(self, sender: Member, pulse: Pulse) -> None:
         scope = pulse.scope or Scope.OWN
+        near = sender.zone == self._members.own.zone
+        speaks = self._topology.speaks
         source = sender.vm
-        near = self._topology.flat or sender.zone == self._members.own.zone
-        if scope == Scope.OWN and not near:
-            # its zone's speaker tells of its work; it must not count twice
-            return
         if scope == Scope.ZONE:
-            if sender.zone == self._members.own.zone or not self._topology.speaks:
+            if near or not speaks:
                 return
             self._heard_zones.add(sender.zone)
             source = _zone_source(sender.zone)
-            # what it heard of the others before it spoke itself must not count twice
-            self._forget(ELSEWHERE_SOURCE)
-        elif scope == Scope.ELSEWHERE:
-            if self._topology.speaks:
-                # it hears the other zones itself
+            # what it heard of all others before it spoke must not count twice
+            self._forget(OTHERS_SOURCE)
+        elif scope == Scope.OTHERS:
+            if speaks or not near:
                 return
-            source = ELSEWHERE_SOURCE
-            for zone in self._heard_zones:
-                self._forget(_zone_source(zone))
+            source = OTHERS_SOURCE
+            self._work.keep_source(source)
+            self._shares.keep_source(source)
+            self._members.vouch(unpack_alive(pulse.alive or b""))
+        elif not self._topology.flat and not (near and speaks):
+            # the speaker tells of its work; it must not count twice
+            return
         self._work.hear(source, unpack_work(pulse.work or b""))
         self._shares.hear(source, unpack_uses(pulse.uses or b""))
 
--- a/packages/fleet/src/teaselledge_fleet/process/topology.py
+++ b/packages/fleet/src/teaselledge_fleet/process/topology.py
@@ -1,5 +1,6 @@
 """Which routers tell which others, so that the cost grows with zones."""
 
+import random
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import IntEnum
@@ -14,10 +15,14 @@
 """Routers up to which each tells every other.
 
 That is the quickest, and costs each of 12 routers 11 datagrams of 300 bytes four
-times a second, 13 KB/s. In a larger fleet routers tell those of their own zone, and
-one router a zone tells the other zones.
+times a second, 13 KB/s. In a larger fleet routers tell the speaker of their zone, which
+tells the other zones what its own does, and its own what all others do.
 """
 
+GOSSIP = 2
+"""Routers of its zone that a router tells besides the speaker. News goes round among
+them when the speaker has died."""
+
 SPOKEN_TO = 2
 """Routers of another zone that are told, in case one of them has just died."""
 
@@ -31,8 +36,8 @@
     ZONE = 1
     """That of all routers of the sender's zone."""
 
-    ELSEWHERE = 2
-    """That of all other zones."""
+    OTHERS = 2
+    """That of all routers but the receiver; a speaker tells it to its zone."""
 
 
 @dataclass(frozen=True)
@@ -68,23 +73,31 @@
         return len(self._members.others) < ALL_KNOW_ALL
 
     @property
-    def speaks(self) -> bool:
-        """Whether this router speaks for its zone."""
+    def speaker(self) -> Member:
+        """The router that speaks for this zone, as far as this one can tell."""
         own = self._members.own
         mates = [m for m in self._members.answering if m.zone == own.zone]
-        return min([*mates, own], key=_rank) is own
+        return min([*mates, own], key=_rank)
+
+    @property
+    def speaks(self) -> bool:
+        """Whether this router speaks for its zone."""
+        return self.speaker is self._members.own
 
     def audiences(self) -> list[Audience]:
         """Return who is to be told what."""
         others = self._members.others
         if self.flat:
             return [Audience(Scope.OWN, others)]
-        zone = self._members.own.zone
-        mates = [m for m in others if m.zone == zone]
-        result = [Audience(Scope.OWN, mates)]
-        if self.speaks:
-            result.append(Audience(Scope.ZONE, self._speakers_elsewhere()))
-            result.append(Audience(Scope.ELSEWHERE, mates))
+        mates = [m for m in others if m.zone == self._members.own.zone]
+        speaker = self.speaker
+        if speaker is not self._members.own:
+            rest = [m for m in mates if m.vm != speaker.vm]
+            chosen = random.sample(rest, min(GOSSIP, len(rest)))
+            return [Audience(Scope.OWN, [speaker, *chosen])]
+        # each mate gets the sum of all but itself
+        result = [Audience(Scope.OTHERS, [mate]) for mate in mates]
+        result.append(Audience(Scope.ZONE, self._speakers_elsewhere()))
         return result
 
     def _speakers_elsewhere(self) -> list[Member]:
--- a/packages/fleet/src/teaselledge_fleet/process/work.py
+++ b/packages/fleet/src/teaselledge_fleet/process/work.py
@@ -103,6 +103,10 @@
                 total[key] = total[key] + work
         return dict(total)
 
+    def keep_source(self, source: str) -> None:
+        """Forget all sources but one."""
+        self._told = {name: t for name, t in self._told.items() if name == source}
+
     def hear(self, source: str, work: dict[int, Work]) -> None:
         """Take the work that a source tells of."""
         self._told[source] = _Told(self._now(), work)
--- a/packages/wire/fleet.thrift
+++ b/packages/wire/fleet.thrift
@@ -38,12 +38,14 @@
   6: i32 store_age,
   7: string follower,
   8: list<EndpointState> changes,
-  // whose work it tells of: 0 the sender's, 1 its zone's, 2 that of all other zones
+  // whose work it tells of: 0 the sender's, 1 its zone's, 2 that of all but the receiver
   9: i8 scope,
   // packed by teaselledge_fleet.connection.figures, to fit a datagram
   10: binary work,
   11: binary uses,
   12: list<RouterInfo> others,
+  // routers of the sender's zone that answer it, packed; with scope 2 only
+  13: binary alive,
 }
 
 // Everything, for a router that knows less.
--- a/packages/wire/src/teaselledge_wire/gen/fleet/ttypes.py
+++ b/packages/wire/src/teaselledge_wire/gen/fleet/ttypes.py
@@ -359,6 +359,7 @@
      - work
      - uses
      - others
+     - alive
 
     """
 
@@ -375,10 +376,11 @@
         'work',
         'uses',
         'others',
+        'alive',
     )
 
 
-    def __init__(self, protocol=None, sender=None, sequence=None, version=None, digest=None, store_age=None, follower=None, changes=None, scope=None, work=None, uses=None, others=None,):
+    def __init__(self, protocol=None, sender=None, sequence=None, version=None, digest=None, store_age=None, follower=None, changes=None, scope=None, work=None, uses=None, others=None, alive=None,):
         self.protocol = protocol
         self.sender = sender
         self.sequence = sequence
@@ -391,6 +393,7 @@
         self.work = work
         self.uses = uses
         self.others = others
+        self.alive = alive
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -474,6 +477,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRING:
+                    self.alive = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -538,6 +546,10 @@
                 iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.alive is not None:
+            oprot.writeFieldBegin('alive', TType.STRING, 13)
+            oprot.writeBinary(self.alive)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -773,6 +785,7 @@
     (10, TType.STRING, 'work', 'BINARY', None, ),  # 10
     (11, TType.STRING, 'uses', 'BINARY', None, ),  # 11
     (12, TType.LIST, 'others', (TType.STRUCT, [RouterInfo, None], False), None, ),  # 12
+    (13, TType.STRING, 'alive', 'BINARY', None, ),  # 13
 )
 all_structs.append(WholeState)
 WholeState.thrift_spec = (
