Move callers away from a crowded router; one follower of the store

A router over half used asks a part of its callers to connect anew, and one that is used up is not named. Two followers reading in step each heard only its own zone's word; now every router passes on the first name it heard lately.

--- a/packages/fleet/src/teaselledge_fleet/connection/front.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/front.py
@@ -1,6 +1,7 @@
 """The callers' server: reads requests, starts a task for each, writes answers."""
 
 import asyncio
+import random
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -67,12 +68,15 @@
 
     Attributes
     ----------
-    started : bool
-        Whether the head has been written.
+    started, finished : bool
+        Whether the head and the end have been written.
+    moving : float
+        Part of the callers that are asked to connect anew, 0 to 1.
     """
 
-    def __init__(self, connection: HTTP1Connection) -> None:
+    def __init__(self, connection: HTTP1Connection, moving: float = 0.0) -> None:
         self._connection = connection
+        self.moving = moving
         self.started = False
         self.finished = False
 
@@ -81,6 +85,9 @@
     ) -> None:
         """Write the head, and a first part of the body with it."""
         self.started = True
+        if random.random() < self.moving:
+            # the caller's next request goes to a router with more room
+            headers["Connection"] = "close"
         line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
         await self._wait(self._connection.write_headers(line, headers, chunk))
 
@@ -146,7 +153,7 @@
             self._task.cancel()
 
     async def _run(self, incoming: Incoming) -> None:
-        sink = CallerSink(self._connection)
+        sink = CallerSink(self._connection, self._server.moving())
         try:
             await self._server.serve(incoming, sink)
         except StreamClosedError:
@@ -176,6 +183,7 @@
         self, serve: Serve, header_bytes: int, body_bytes: int, idle_seconds: float
     ) -> None:
         self.serve = serve
+        self.moving: Callable[[], float] = lambda: 0.0
         self._running: set[_Reader] = set()
         self._ports: list[int] = []
         self._http = HTTPServer(
--- a/packages/fleet/src/teaselledge_fleet/process/addresses.py
+++ b/packages/fleet/src/teaselledge_fleet/process/addresses.py
@@ -27,6 +27,9 @@
 MOST_ELSEWHERE = 0.8
 """Largest part of the addresses that are in other zones."""
 
+USED_UP = 0.85
+"""Part of its processor time beyond which a router is not named."""
+
 ALIKE = 1.5
 """Routers whose room differs by less are all named; they share callers evenly."""
 
@@ -44,18 +47,28 @@
     """
     region = region or zones.get(zone, "")
     near = [m for m in ready if m.zone == zone]
-    chosen = _sample(near, _count(near))
+    roomy = _with_room(near)
+    chosen = _sample(roomy, _count(roomy))
     missing = max(ENOUGH - len(chosen), _elsewhere(near, len(chosen)))
     for ring in (
         [m for m in ready if m.zone != zone and m.region == region],
         [m for m in ready if m.zone != zone and m.region != region],
     ):
-        added = _sample(ring, min(missing, len(ring)))
+        added = _sample(_with_room(ring), max(0, missing))
         chosen += added
         missing -= len(added)
     return [member.callers for member in chosen[:MOST]]
 
 
+def _with_room(members: Sequence[Member]) -> Sequence[Member]:
+    """Leave out routers of a zone that are used up, as long as enough are left.
+
+    Callers drop their open connections to routers that are not named.
+    """
+    left = [member for member in members if member.busy < USED_UP]
+    return left if len(left) >= ENOUGH else members
+
+
 def _spare(member: Member) -> float:
     return member.cores * max(LEAST_SPARE, 1.0 - member.busy)
 
--- a/packages/fleet/src/teaselledge_fleet/process/belief.py
+++ b/packages/fleet/src/teaselledge_fleet/process/belief.py
@@ -29,6 +29,9 @@
 """Age up to which another follower's reading shows that it still reads: its period of
 0.7 s and the way of its news."""
 
+ECHO_SECONDS = 0.02
+"""An age that is newer by less is this router's own, come back from another one."""
+
 GONE_KEPT = 200
 """Entries of gone endpoints that are remembered, so that old news can't revive them."""
 
@@ -61,6 +64,7 @@
         self.follower = ""
         self.on_change: list[Callable[[], None]] = []
         self._as_of: float | None = None
+        self._follower_as_of = 0.0
         self._returned_at: float | None = None
         self._fresh_changes: list[Entry] = []
 
@@ -110,7 +114,7 @@
                     continue
                 news.append(Entry(entry.id, max(revision, entry.revision + 1), None))
         self._merge(news, "store")
-        self.follower = self._vm
+        self._note_follower(self._vm, as_of)
         self._tell()
 
     def take_news(self, entries: Iterable[Entry], source: str) -> None:
@@ -121,20 +125,32 @@
         """Take another router's word on how old an equal view is."""
         if digest != self.view.digest:
             return
-        if self.follower == self._vm and age < YIELD_SECONDS and follower < self._vm:
-            # two read at the same time; the first by name goes on
-            self.follower = follower or self._vm
         as_of = self._now() - age
-        if self._as_of is None or as_of > self._as_of:
+        if follower != self._vm:
+            # its own name only comes back from others
+            self._note_follower(follower, as_of)
+        if self._as_of is None or as_of > self._as_of + ECHO_SECONDS:
             self._advance(as_of)
-            if self.follower != self._vm:
-                self.follower = follower
 
     def give_up_following(self) -> None:
         """Note that this router can't read the store, so that another one does."""
         if self.follower == self._vm:
             self.follower = ""
 
+    def _note_follower(self, follower: str, as_of: float) -> None:
+        """Take who read the store at some time.
+
+        Of two that read at the same time the first by name goes on: every router
+        passes on the first name it heard lately, so the other one hears it too.
+        """
+        current = self.follower
+        if not follower or self._now() - as_of > YIELD_SECONDS:
+            return
+        stale = self._now() - self._follower_as_of > YIELD_SECONDS
+        if not current or stale or follower <= current:
+            self.follower = follower
+            self._follower_as_of = as_of
+
     def take_changes(self) -> list[Entry]:
         """Return the entries that changed since the last call."""
         changes, self._fresh_changes = self._fresh_changes, []
--- a/packages/fleet/src/teaselledge_fleet/process/busyness.py
+++ b/packages/fleet/src/teaselledge_fleet/process/busyness.py
@@ -16,6 +16,13 @@
 HELD_UP_MEMORY_SECONDS = 0.5
 """Time in which the pulses that waited are read, and new ones come."""
 
+CROWDED = 0.5
+"""Part of the processor time beyond which callers are asked to connect elsewhere.
+
+A caller with much to ask may keep all its connections at one router, while the
+others have room; it picks anew for each new connection.
+"""
+
 LAG_SECONDS = 0.2
 """Lateness of a tick at which the router counts as busy all the time.
 
@@ -52,6 +59,11 @@
         """Part of the processor time that is used, from 0 to 1."""
         return min(1.0, max(self._used, self._lag / LAG_SECONDS))
 
+    @property
+    def crowded(self) -> float:
+        """Part of the connections that callers should move elsewhere, 0 to 1."""
+        return max(0.0, (self.busy - CROWDED) / (1.0 - CROWDED))
+
     async def run(self) -> None:
         """Measure for ever."""
         loop = asyncio.get_running_loop()
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -118,6 +118,7 @@
             limits.body_bytes,
             limits.idle_seconds,
         )
+        self._front.moving = lambda: self._busyness.crowded
         self._follower = StoreFollower(place.vm, store, self._belief)
         self._registration = Registration(store, self._members)
         self._spreading = Spreading(
--- a/packages/fleet/tests/test_addresses.py
+++ b/packages/fleet/tests/test_addresses.py
@@ -62,3 +62,13 @@
 def test_an_unknown_zone_gets_routers_all_the_same():
     ready = [router("b1"), router("c1")]
     assert len(addresses_for(ready, ZONES, "nowhere", "")) == 2
+
+
+def test_a_router_that_is_used_up_is_not_named():
+    ready = [router("a1", busy=0.95), router("a2"), router("a3"), router("b1")]
+    assert set(picks(ready)) == {"a2", "a3"}
+
+
+def test_used_up_routers_are_better_than_none():
+    ready = [router("a1", busy=0.95), router("a2", busy=0.95)]
+    assert len(addresses_for(ready, ZONES, "a", "west")) == 2
--- a/packages/fleet/tests/test_serving.py
+++ b/packages/fleet/tests/test_serving.py
@@ -308,3 +308,16 @@
     assert answered.status == 503
     assert 0 < float(answered.headers["retry-after"]) < 0.5
     assert not endpoint.received
+
+
+async def test_callers_are_moved_away_from_a_crowded_router():
+    """A caller keeps all its connections at one router, which can't keep up."""
+    async with ScriptedEndpoint(sends(GOOD)) as endpoint:
+        route = make_route(Repeat.ANY)
+        async with serving(route, endpoint.address) as served:
+            calm = await ask(served.port)
+            served.front.moving = lambda: 1.0
+            crowded = await ask(served.port)
+    assert "connection" not in calm.headers
+    assert crowded.headers["connection"] == "close"
+    assert (crowded.status, crowded.body) == (200, b"fine")
--- a/packages/standins/src/teaselledge_standins/routes.py
+++ b/packages/standins/src/teaselledge_standins/routes.py
@@ -85,6 +85,7 @@
 
     server: Server
     placer: InOrder
+    front: FrontServer
     port: int
 
 
@@ -103,7 +104,7 @@
     front.listen("127.0.0.1", 0)
     port = front.ports[0]
     try:
-        yield ServedRoute(server, placer, port)
+        yield ServedRoute(server, placer, front, port)
     finally:
         front.stop()
         await front.close()
