--- a/packages/fleet/src/teaselledge_fleet/process/replicas.py
+++ b/packages/fleet/src/teaselledge_fleet/process/replicas.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import OrderedDict
+from dataclasses import dataclass
 
 __all__ = ["Footprint"]
 
@@ -26,6 +27,17 @@
 """
 
 
+LEAST_COVERED = 0.1
+"""Where nearly all parts were seen once, the estimate is no better than this."""
+
+
+@dataclass(frozen=True)
+class _Seen:
+    at: float
+    tokens: int
+    uses: int
+
+
 class Footprint:
     """Adds up the shared parts that are in use, and fits copies into the memory.
 
@@ -35,30 +47,49 @@
     """
 
     def __init__(self) -> None:
-        self._seen: OrderedDict[str, tuple[float, int]] = OrderedDict()
+        self._seen: OrderedDict[str, _Seen] = OrderedDict()
         self._tokens = 0
+        self._uses = 0
+        self._once = 0
         self._requests = 0
 
     @property
-    def tokens(self) -> int:
-        """Tokens of all parts that are in use."""
-        return self._tokens
+    def tokens(self) -> float:
+        """Tokens of all parts that are in use, those not seen here included.
+
+        The part of the requests whose shared part was seen once only tells how much
+        is not seen at all (Good and Turing's estimate).
+        """
+        if not self._uses:
+            return 0.0
+        covered = max(LEAST_COVERED, 1.0 - self._once / self._uses)
+        return self._tokens / covered
 
     def note(self, part: str, tokens: int) -> None:
         """Note that a request uses a part."""
         now = asyncio.get_running_loop().time()
         self._requests += 1
-        before = self._seen.pop(part, None)
-        if before is not None:
-            self._tokens -= before[1]
-        self._seen[part] = (now, tokens)
-        self._tokens += tokens
         while self._seen:
-            oldest, (at, size) = next(iter(self._seen.items()))
-            if now - at <= WINDOW_SECONDS:
-                return
-            del self._seen[oldest]
-            self._tokens -= size
+            oldest = next(iter(self._seen))
+            if now - self._seen[oldest].at <= WINDOW_SECONDS:
+                break
+            self._forget(oldest)
+        before = self._forget(part)
+        self._add(part, _Seen(now, tokens, before.uses + 1 if before else 1))
+
+    def _add(self, part: str, seen: "_Seen") -> None:
+        self._seen[part] = seen
+        self._tokens += seen.tokens
+        self._uses += seen.uses
+        self._once += seen.uses == 1
+
+    def _forget(self, part: str) -> "_Seen | None":
+        seen = self._seen.pop(part, None)
+        if seen is not None:
+            self._tokens -= seen.tokens
+            self._uses -= seen.uses
+            self._once -= seen.uses == 1
+        return seen
 
     def copies(self, engines: int, memory_tokens: int) -> int:
         """Return how many engines should keep each part.
@@ -73,4 +104,4 @@
         if self._requests < LEAST_REQUESTS or not self._tokens:
             return 1
         room = SHARED_MEMORY * engines * memory_tokens
-        return max(1, min(engines, int(room / self._tokens)))
+        return max(1, min(engines, int(room / self.tokens)))
