--- a/packages/fleet/src/teaselledge_fleet/process/following.py
+++ b/packages/fleet/src/teaselledge_fleet/process/following.py
@@ -58,11 +58,6 @@
         self._reachable: bool | None = None
         self.calls = 0
 
-    @property
-    def reachable(self) -> bool:
-        """Whether its last call was answered."""
-        return self._reachable is not False
-
     async def run(self) -> None:
         """Follow the store for ever."""
         await asyncio.sleep(random.uniform(0, START_SECONDS))
--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -24,7 +24,7 @@
 from teaselledge_fleet.process.shares import OrganisationShares
 from teaselledge_fleet.process.work import FleetWork
 from teaselledge_fleet.request.call import Prompt
-from teaselledge_fleet.request.serving import Journey, Outcome, Placement
+from teaselledge_fleet.request.journey import Journey, Outcome, Placement
 from teaselledge_fleet.version.routes import Routing
 
 __all__ = ["FleetPlacer"]
--- /dev/null
+++ b/packages/fleet/src/teaselledge_fleet/request/journey.py
@@ -0,0 +1,126 @@
+"""What one request has been through, and what decides where it goes."""
+
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from typing import Protocol
+
+from expression import Result
+
+from teaselledge_fleet.faults import Fault
+from teaselledge_fleet.process.endpoints import Endpoint
+from teaselledge_fleet.request.call import Call
+from teaselledge_fleet.version.routes import Organisation, Route
+
+__all__ = ["Journey", "Outcome", "Placement", "Placer"]
+
+
+class Outcome(Enum):
+    """How an attempt ended."""
+
+    WHOLE = auto()
+    """The answer was passed on whole."""
+
+    DECLINED = auto()
+    """The endpoint did not run it."""
+
+    UNSENT = auto()
+    """No connection came about."""
+
+    LOST = auto()
+    """It was sent, and no usable answer came: it may have run."""
+
+    FAILED = auto()
+    """The endpoint ran it and told of a failure."""
+
+    BROKEN = auto()
+    """The answer stopped after a part of it was passed on."""
+
+    ABANDONED = auto()
+    """The caller left, or its time ran out."""
+
+
+@dataclass
+class Journey:
+    """What one request has been through.
+
+    Attributes
+    ----------
+    call : Call
+        The request.
+    body : bytes
+        Its body.
+    route : Route
+        Its route.
+    service : str
+        The service it goes to.
+    organisation : Organisation or None
+        Whose it is.
+    arrived, deadline : float
+        Loop times.
+    tried : list of str
+        Ids of the endpoints it was sent to, or that could not be reached.
+    sends : int
+        How often it was sent.
+    may_have_run : bool
+        Whether any attempt may have run.
+    begun : float or None
+        Loop time of the first event of a stream.
+    longest_pause : float
+        Longest time between two parts of a stream, in seconds.
+    version : int
+        Configuration under which it runs.
+    reading : float
+        Time that the engine is expected to read its prompt, in seconds.
+    """
+
+    call: Call
+    body: bytes
+    route: Route
+    service: str
+    organisation: Organisation | None
+    arrived: float
+    deadline: float
+    tried: list[str] = field(default_factory=list)
+    sends: int = 0
+    may_have_run: bool = False
+    begun: float | None = None
+    longest_pause: float = 0.0
+    version: int = 0
+    reading: float = 0.0
+
+    @property
+    def owner(self) -> str:
+        """Name of the organisation, empty without one."""
+        return self.organisation.name if self.organisation is not None else ""
+
+
+@dataclass(frozen=True)
+class Placement:
+    """Where an attempt goes.
+
+    Attributes
+    ----------
+    endpoint : Endpoint
+        Runs it.
+    fetch_from : str or None
+        Address of an engine that may keep the shared parts of the prompt.
+    reasons : dict of str to float
+        Figures that decided it, for the log.
+    """
+
+    endpoint: Endpoint
+    fetch_from: str | None = None
+    reasons: dict[str, float] = field(default_factory=dict)
+
+
+class Placer(Protocol):
+    """Decides where and when a request runs."""
+
+    async def place(self, journey: Journey) -> Result[Placement, Fault]:
+        """Return the endpoint for the next attempt, or why there is none."""
+
+    def began(self, journey: Journey, endpoint: Endpoint) -> None:
+        """Note the first part of an answer."""
+
+    def ended(self, journey: Journey, endpoint: Endpoint, outcome: Outcome) -> None:
+        """Note the end of an attempt."""
--- a/packages/fleet/tests/test_placing.py
+++ b/packages/fleet/tests/test_placing.py
@@ -10,7 +10,7 @@
 from teaselledge_fleet.process.shares import Use
 from teaselledge_fleet.process.work import Work, key_of
 from teaselledge_fleet.request.call import Call, Prompt, PromptPart
-from teaselledge_fleet.request.serving import Journey, Outcome
+from teaselledge_fleet.request.journey import Journey, Outcome
 from teaselledge_fleet.version.routes import Organisation, Repeat
 from teaselledge_standins.routes import make_route
 from tornado.httputil import HTTPHeaders
--- a/packages/standins/src/teaselledge_standins/routes.py
+++ b/packages/standins/src/teaselledge_standins/routes.py
@@ -11,8 +11,9 @@
 from teaselledge_fleet.faults import Fault, FaultKind
 from teaselledge_fleet.process.budget import RepeatBudget
 from teaselledge_fleet.process.endpoints import Endpoint
+from teaselledge_fleet.request.journey import Journey, Outcome, Placement
 from teaselledge_fleet.request.owndialect import OwnDialect
-from teaselledge_fleet.request.serving import Journey, Outcome, Placement, Server
+from teaselledge_fleet.request.serving import Server
 from teaselledge_fleet.version.routes import (
     Organisation,
     Repeat,
