--- a/packages/fleet/src/teaselledge_fleet/connection/front.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/front.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -80,6 +81,24 @@
         self.started = False
         self.finished = False
 
+    @property
+    def gone(self) -> bool:
+        """Whether the caller has closed its connection.
+
+        A router that is late reads a request and its caller's close at the same time,
+        and learns of the close only some turns of the loop later. What it would send
+        until then is work for nobody. So it looks at the socket itself.
+        """
+        stream = self._connection.stream
+        if stream is None or stream.closed():
+            return True
+        try:
+            return not stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     async def start(
         self, status: int, headers: HTTPHeaders, chunk: bytes | None = None
     ) -> None:
--- a/packages/fleet/src/teaselledge_fleet/request/serving.py
+++ b/packages/fleet/src/teaselledge_fleet/request/serving.py
@@ -174,6 +174,9 @@
                 return Outcome.DECLINED, None
             endpoint = placed.ok.endpoint
             outcome = Outcome.ABANDONED
+            if self._sink.gone:
+                self._server._placer.ended(journey, endpoint, outcome)
+                return outcome, endpoint
             try:
                 outcome = await self._attempt(placed.ok)
             finally:
--- a/packages/fleet/tests/test_serving.py
+++ b/packages/fleet/tests/test_serving.py
@@ -1,6 +1,7 @@
 """Tests of one request's way through the router, over real connections."""
 
 import asyncio
+import socket
 
 from teaselledge_fleet.process.budget import RepeatBudget, RepeatLimits
 from teaselledge_fleet.version.routes import Repeat
@@ -321,3 +322,23 @@
     assert "connection" not in calm.headers
     assert crowded.headers["connection"] == "close"
     assert (crowded.status, crowded.body) == (200, b"fine")
+
+
+async def test_nothing_is_sent_for_a_caller_that_left_unnoticed():
+    """A late router reads a request and its caller's close at the same time.
+
+    The engine would work for nobody, on a router and at a moment that have no room.
+    """
+    async with ScriptedEndpoint(sends(GOOD)) as endpoint:
+        route = make_route(Repeat.ANY)
+        async with serving(route, endpoint.address) as served:
+            # a kept connection, so that the next request goes out at once
+            await ask(served.port)
+            # the router's loop gets no turn between the request and the close
+            caller = socket.create_connection(("127.0.0.1", served.port))
+            caller.sendall(
+                b"GET /r/1 HTTP/1.1\r\nHost: books.example\r\nX-Request-Id: q1\r\n\r\n"
+            )
+            caller.close()
+            await asyncio.sleep(0.1)
+    assert len(endpoint.received) == 1
