--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -32,6 +32,9 @@
 BENCH_MARK = "bench/"
 """Lines about bounds of benchmarks, which ``python -m bench`` reads."""
 
+PLAY_MARK = "play/"
+"""Lines about rules that played days break; no test here can turn them green."""
+
 WORKERS = 6
 
 TEST_SECONDS = 90
@@ -164,6 +167,9 @@
     for line in KNOWN_RED.read_text().splitlines():
         if not line.strip() or line.startswith("#"):
             continue
+        if line.startswith(PLAY_MARK):
+            print(f"known red, played: {line.removeprefix(PLAY_MARK)}")
+            continue
         lines += 1
         if line.startswith(BENCH_MARK):
             continue
