A soak of the real program under faults from outside

Real routers as processes on loopback addresses, a store, endpoints and callers in the soak's own process, a proxy before each endpoint and the store. Sixteen kinds of faults by seed: kills, restarts, signals, pauses, resets, delays, silence one way, a store that is silent, fails, forgets its history or loses answers, torn and surplus answers, torn entries, changes of the configuration. Seven checks from what callers and endpoints saw; each has a history that it must catch, and three have a variant of the program.

The stand-in of the store is the one that the tests of the store's client used.

--- a/Makefile
+++ b/Makefile
@@ -3,13 +3,13 @@
 PYTHON ?= python3
 PY := $(VENV)/bin/python
 SOURCES := packages platform tools bench
-export PYTHONPATH := $(CURDIR)/packages/wire/src:$(CURDIR)/packages/router/src:$(CURDIR)/packages/ctl/src:$(CURDIR)/packages/standins/src:$(CURDIR)/packages/fleet/src:$(CURDIR)/platform/src:$(CURDIR)
+export PYTHONPATH := $(CURDIR)/packages/wire/src:$(CURDIR)/packages/router/src:$(CURDIR)/packages/ctl/src:$(CURDIR)/packages/standins/src:$(CURDIR)/packages/fleet/src:$(CURDIR)/platform/src:$(CURDIR)/platform/soak:$(CURDIR)
 export PYTHONDONTWRITEBYTECODE := 1
 export PYTHONHASHSEED := 0
 MYPY_FLAGS := $(if $(VENV_READY),--cache-dir=/dev/null)
 export RUFF_NO_CACHE := $(if $(VENV_READY),true,false)
 
-.PHONY: docs fleet venv format lint types unit test demo bench bench-quick thrift
+.PHONY: soak docs fleet venv format lint types unit test demo bench bench-quick thrift
 
 # VENV_READY=1 takes the environment as it is, for a second worktree
 venv: $(if $(VENV_READY),,$(VENV)/.stamp)
@@ -65,3 +65,7 @@
 # needed only after a change of the interface file
 thrift:
 	for file in router fleet; do thrift -r --gen py:slots,package_prefix=teaselledge_wire.gen. -out packages/wire/src/teaselledge_wire/gen packages/wire/$$file.thrift; done
+
+# make soak: some runs with fresh seeds; SEED=n repeats one
+soak: venv
+	$(PY) -m teaselledge_soak.main $(if $(SEED),--seed=$(SEED),--runs=$(or $(RUNS),5)) --keep=$(or $(KEEP),target/soak)
