--- a/packages/fleet/src/teaselledge_fleet/process/asking.py
+++ b/packages/fleet/src/teaselledge_fleet/process/asking.py
@@ -68,6 +68,11 @@
         The way to other routers.
     keepers : Keepers
         Who admits to which endpoint.
+
+    Attributes
+    ----------
+    asked, unanswered : int
+        Questions to other routers, and those without an answer in time.
     """
 
     def __init__(
@@ -88,6 +93,8 @@
         self._number = secrets.randbits(SENDER_BITS)
         self._sequence = 0
         self._waiting: dict[int, asyncio.Future[Answer]] = {}
+        self.asked = 0
+        self.unanswered = 0
         socket.on(WorkReport, self._take_report)
         socket.on(AdmissionRequest, self._take_request)
         socket.on(AdmissionReply, self._take_reply)
@@ -119,11 +126,13 @@
             return self._admission.ask(question)
         future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         self._waiting[question.sequence] = future
+        self.asked += 1
         self._socket.send(keeper.peers, _to_wire(question))
         try:
             async with asyncio.timeout(self._patience(keeper)):
                 answer = await future
         except TimeoutError:
+            self.unanswered += 1
             self._keepers.missed(keeper)
             return None
         finally:
--- a/packages/fleet/src/teaselledge_fleet/process/metrics.py
+++ b/packages/fleet/src/teaselledge_fleet/process/metrics.py
@@ -63,7 +63,15 @@
     "peer_sent_bytes": Metric(
         "counter", "bytes", "Bytes sent to other routers in datagrams."
     ),
-    "peer_malformed": Metric("counter", "datagrams", "Datagrams that are no pulses."),
+    "peer_malformed": Metric(
+        "counter", "datagrams", "Datagrams that could not be read."
+    ),
+    "admissions_asked": Metric(
+        "counter", "questions", "Questions to routers that admit to an endpoint."
+    ),
+    "admissions_unanswered": Metric(
+        "counter", "questions", "Those that got no answer in time."
+    ),
     "routers_answering": Metric("gauge", "routers", "Other routers heard lately."),
 }
 
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -56,7 +56,6 @@
 class Pages(Protocol):
     """Formats of what callers and the platform ask a router."""
 
-    ready_path: str
     addresses_path: str
 
     def place_asked(self, arguments: dict[str, str]) -> tuple[str, str]:
@@ -270,6 +269,8 @@
         metrics.set("routers_answering", len(self._members.answering))
         metrics.set_total("store_calls", self._follower.calls)
         metrics.set_total("endpoint_connections", self._pool.opened)
+        metrics.set_total("admissions_asked", self._asking.asked)
+        metrics.set_total("admissions_unanswered", self._asking.unanswered)
         metrics.set_total("peer_sent_bytes", self._socket.sent_bytes)
         metrics.set_total("peer_malformed", self._socket.malformed)
         return Page(200, metrics.text(), METRICS_TYPE)
--- a/packages/fleet/src/teaselledge_fleet/process/shares.py
+++ b/packages/fleet/src/teaselledge_fleet/process/shares.py
@@ -1,10 +1,10 @@
 """Each organisation's fair share of what the model engines can do."""
 
-import asyncio
 from collections import defaultdict, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from teaselledge_fleet.process.sources import Sources
 from teaselledge_fleet.process.work import key_of
 
 __all__ = ["OrganisationShares", "Use", "fair_level"]
@@ -12,9 +12,6 @@
 WINDOW_SECONDS = 4.0
 """Time over which use is counted; shares are owed over windows of 4 s."""
 
-FORGET_SECONDS = 2.0
-"""Time after which what a silent source told counts no more."""
-
 SLICE_SECONDS = 0.5
 """A window is made of slices, so that it moves on without keeping each request."""
 
@@ -89,23 +86,16 @@
         return Use(counter.asked - asked, counter.received - received)
 
 
-@dataclass(frozen=True)
-class _Told:
-    at: float
-    uses: dict[int, Use]
-
-
-class OrganisationShares:
+class OrganisationShares(Sources[Use]):
     """Counts what organisations ask for and receive over the whole fleet.
 
-    Every source tells its use within the last window, so a lost pulse does no harm:
-    the next one replaces it.
+    Every source tells its use within the last window.
     """
 
     def __init__(self) -> None:
+        super().__init__()
         self._counters: defaultdict[int, _Counter] = defaultdict(_Counter)
         self._windows: defaultdict[int, _Window] = defaultdict(_Window)
-        self._told: dict[str, _Told] = {}
         self._names: dict[str, int] = {}
         self._level = float("inf")
         self._fleet: dict[int, Use] = {}
@@ -140,33 +130,13 @@
                 found[key] = use
         return found
 
-    def from_sources(self, sources: Iterable[str]) -> dict[int, Use]:
-        """Return the sum of what some sources told lately."""
-        oldest = self._now() - FORGET_SECONDS
-        total: defaultdict[int, Use] = defaultdict(Use)
-        for source in sources:
-            told = self._told.get(source)
-            if told is None or told.at < oldest:
-                continue
-            for key, use in told.uses.items():
-                total[key] += use
-        return dict(total)
-
-    def keep_source(self, source: str) -> None:
-        """Forget all sources but one."""
-        self._told = {name: t for name, t in self._told.items() if name == source}
-
-    def hear(self, source: str, uses: dict[int, Use]) -> None:
-        """Take the use that a source tells of."""
-        self._told[source] = _Told(self._now(), uses)
-
     def _refresh(self) -> None:
         now = self._now()
         if now - self._levelled_at < SLICE_SECONDS / 2:
             return
         self._levelled_at = now
         fleet: defaultdict[int, Use] = defaultdict(Use, self.own())
-        for key, use in self.from_sources(list(self._told)).items():
+        for key, use in self.from_sources().items():
             fleet[key] += use
         self._fleet = dict(fleet)
         capacity = sum(use.received for use in fleet.values())
@@ -184,6 +154,3 @@
         if key is None:
             key = self._names[organisation] = key_of(organisation)
         return key
-
-    def _now(self) -> float:
-        return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/fleet/src/teaselledge_fleet/process/sources.py
@@ -0,0 +1,64 @@
+"""Figures that other routers tell of, by source, until they are too old."""
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Generic, Protocol, Self, TypeVar
+
+__all__ = ["Addable", "Sources"]
+
+FORGET_SECONDS = 2.0
+"""Time after which what a silent source told counts no more.
+
+A router that was cut off would otherwise keep engines looking busy and organisations
+looking served; its requests end within some seconds.
+"""
+
+
+class Addable(Protocol):
+    """A figure of which sums are made."""
+
+    def __add__(self, other: Self) -> Self:
+        """Return the sum."""
+
+
+FigureT = TypeVar("FigureT", bound=Addable)
+
+
+@dataclass(frozen=True)
+class _Told(Generic[FigureT]):
+    at: float
+    figures: dict[int, FigureT]
+
+
+class Sources(Generic[FigureT]):
+    """Adds up what sources told last, each of them everything it knows.
+
+    A lost message does no harm: the next one of its source replaces it.
+    """
+
+    def __init__(self) -> None:
+        self._told: dict[str, _Told[FigureT]] = {}
+
+    def hear(self, source: str, figures: dict[int, FigureT]) -> None:
+        """Take the figures that a source tells of, by key."""
+        self._told[source] = _Told(self._now(), figures)
+
+    def keep_source(self, source: str) -> None:
+        """Forget all sources but one."""
+        self._told = {name: t for name, t in self._told.items() if name == source}
+
+    def from_sources(self, sources: Iterable[str] | None = None) -> dict[int, FigureT]:
+        """Return the sum of what some sources told lately, or all of them."""
+        oldest = self._now() - FORGET_SECONDS
+        total: dict[int, FigureT] = {}
+        for source in self._told if sources is None else sources:
+            told = self._told.get(source)
+            if told is None or told.at < oldest:
+                continue
+            for key, figure in told.figures.items():
+                total[key] = total[key] + figure if key in total else figure
+        return total
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
--- a/packages/fleet/src/teaselledge_fleet/process/work.py
+++ b/packages/fleet/src/teaselledge_fleet/process/work.py
@@ -1,6 +1,5 @@
 """What the whole fleet has under way at each endpoint."""
 
-import asyncio
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -8,14 +7,9 @@
 
 import xxhash
 
-__all__ = ["FleetWork", "Work", "key_of"]
-
-FORGET_SECONDS = 2.0
-"""Time after which the work that a silent router told of counts no more.
+from teaselledge_fleet.process.sources import Sources
 
-Its requests end within some seconds, and a router that was cut off would otherwise
-keep engines looking busy.
-"""
+__all__ = ["FleetWork", "Work", "key_of"]
 
 SUMMED_SECONDS = 0.1
 """Age at which the sum of what was told is made again, as some of it may be too old. A
@@ -61,19 +55,13 @@
         return Work(running, max(0.0, self.reading - other.reading))
 
 
-@dataclass(frozen=True)
-class _Told:
-    at: float
-    work: dict[int, Work]
-
-
 @dataclass(frozen=True)
 class _Answered:
     at: float
     others: Work
 
 
-class FleetWork:
+class FleetWork(Sources[Work]):
     """Knows what this router has under way, and what all others have.
 
     Its own requests it knows exactly. Of the others it hears by pulse, from the routers
@@ -81,8 +69,8 @@
     """
 
     def __init__(self) -> None:
+        super().__init__()
         self._own: defaultdict[str, Work] = defaultdict(Work)
-        self._told: dict[str, _Told] = {}
         self._answered: dict[str, _Answered] = {}
         self._changed: set[str] = set()
         self._sums: dict[int, Work] = {}
@@ -133,34 +121,19 @@
                 del self._own[name]
                 self._answered.pop(name, None)
 
-    def from_sources(self, sources: Iterable[str]) -> dict[int, Work]:
-        """Return the sum of what some sources told lately."""
-        oldest = self._now() - FORGET_SECONDS
-        total: defaultdict[int, Work] = defaultdict(Work)
-        for source in sources:
-            told = self._told.get(source)
-            if told is None or told.at < oldest:
-                continue
-            for key, work in told.work.items():
-                total[key] += work
-        return dict(total)
-
     def keep_source(self, source: str) -> None:
         """Forget all sources but one."""
-        self._told = {name: t for name, t in self._told.items() if name == source}
+        super().keep_source(source)
         self._summed_at = -SUMMED_SECONDS
 
-    def hear(self, source: str, work: dict[int, Work]) -> None:
+    def hear(self, source: str, figures: dict[int, Work]) -> None:
         """Take the work that a source tells of."""
-        self._told[source] = _Told(self._now(), work)
+        super().hear(source, figures)
         self._summed_at = -SUMMED_SECONDS
 
     def _heard(self, key: int) -> Work:
         now = self._now()
         if now - self._summed_at >= SUMMED_SECONDS:
-            self._sums, self._summed_at = self.from_sources(self._told), now
+            self._sums, self._summed_at = self.from_sources(), now
         kept, told = self.kept(key), self._sums.get(key)
         return kept if told is None else kept + told
-
-    def _now(self) -> float:
-        return asyncio.get_running_loop().time()
--- a/packages/fleet/src/teaselledge_fleet/request/serving.py
+++ b/packages/fleet/src/teaselledge_fleet/request/serving.py
@@ -151,7 +151,6 @@
         self._sink = sink
         self._splitter = EventSplitter() if journey.route.stream else None
         self._fault: Fault | None = None
-        self._relayed = 0
         self._last_part: float | None = None
 
     async def go(self) -> None:
@@ -308,7 +307,6 @@
         return Outcome.WHOLE
 
     async def _put(self, endpoint: Endpoint, head: EndpointHead, events: bytes) -> None:
-        self._relayed += len(events)
         self._note_pause()
         if self._sink.started:
             await self._sink.write(events)
--- a/tools/make_docs.py
+++ b/tools/make_docs.py
@@ -10,6 +10,7 @@
 from teaselledge.metrics import METRICS
 from teaselledge.process import settings
 from teaselledge.version.document import Document
+from teaselledge_fleet.process import metrics as fleet_metrics
 
 from tools.capacity_page import capacity_page
 from tools.reference import filled, reference
@@ -45,9 +46,21 @@
 | --- | --- | --- | --- |
 """
 
-METRICS_HEAD = """\
+FLEET_METRICS_HEAD = """\
 # Metrics
 
+## Routers on the platform
+
+Served as text at `/metrics` on the metrics address, each name after `teaselledge_`.
+
+| metric | kind | unit | labels | meaning |
+| --- | --- | --- | --- | --- |
+"""
+
+METRICS_HEAD = """\
+
+## The product's own interface
+
 Sent by statsd over UDP where the settings name a `statsd` daemon, below the prefix
 `teaselledge.<vm>`. A label follows the name after a dot.
 
@@ -79,7 +92,18 @@
         f"| `{name}` | {metric.kind} | {metric.unit} | {metric.meaning} |"
         for name, metric in sorted(METRICS.items())
     ]
-    return METRICS_HEAD + "\n".join(lines) + "\n"
+    fleet = [
+        f"| `{name}` | {m.kind} | {m.unit} | {', '.join(m.labels)} | {m.meaning} |"
+        for name, m in sorted(fleet_metrics.METRICS.items())
+    ]
+    return (
+        FLEET_METRICS_HEAD
+        + "\n".join(fleet)
+        + "\n"
+        + METRICS_HEAD
+        + "\n".join(lines)
+        + "\n"
+    )
 
 
 def settings_page() -> str:
