--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -222,13 +222,13 @@
     ) -> Result[Placement, Fault]:
         """Ask for the best endpoint, and for the next best with what that told."""
         over = self._shares.over(journey.owner, SHARE_MARGIN)
-        part = WAIT_PART_OVER_SHARE if over else WAIT_PART
+        wait_part = WAIT_PART_OVER_SHARE if over else WAIT_PART
         asked: set[str] = set()
         best = self._best(journey, endpoints)
         while best.endpoint.id not in asked and len(asked) < MOST_ASKED:
             asked.add(best.endpoint.id)
             waited = self._now() - journey.arrived
-            most_wait = part * journey.route.objective - waited
+            most_wait = wait_part * journey.route.objective - waited
             if await self._admit(journey, best, most_wait):
                 return Ok(self._placement(journey, best))
             best = self._best(journey, endpoints)
--- a/tools/spread_cost.py
+++ b/tools/spread_cost.py
@@ -13,14 +13,19 @@
 import looptime
 from teaselledge_fleet.process.endpoints import Endpoint
 from teaselledge_fleet.version.routes import Routing
-from teaselledge_standins.spreadfleet import SpreadFleet, spread_fleet
+from teaselledge_standins.spreadfleet import SpreadFleet, SpreadRouter, spread_fleet
 from teaselledge_standins.statestore import MemoryStateStore
 
 SIZES = ((9, 3, 8), (40, 6, 45), (89, 6, 51), (370, 21, 2900))
 """Routers, zones and endpoints."""
 
-BUSY_ENDPOINTS = 12
-"""Endpoints at which a router has work: 10 requests a second that last 1.5 s."""
+REQUESTS_A_SECOND = 9.5
+"""Requests at each router, as planned for 370 routers."""
+
+READING_SECONDS = 0.05
+FIRST_SECONDS = 0.2
+RUN_SECONDS = 1.5
+"""Time in which a request's prompt is read, its answer begins, and it ends."""
 
 ORGANISATIONS = 30
 SETTLE_SECONDS = 8.0
@@ -39,26 +44,44 @@
     store.configure(b"1")
     for number in range(endpoints):
         address = f"10.0.{number // 250}.{number % 250}:8080"
-        store.put(Endpoint(f"i-{number:010x}", "books", address, "z0", 48))
+        store.put(Endpoint(f"i-{number:010x}", "books", address, f"z{number % 6}", 48))
     return store
 
 
-def load(fleet: SpreadFleet, endpoints: int) -> None:
-    """Give each router work and use to tell of."""
+def use(fleet: SpreadFleet) -> None:
+    """Give each router use of organisations to tell of."""
     for router in fleet.routers:
-        for number in random.sample(range(endpoints), min(BUSY_ENDPOINTS, endpoints)):
-            router.work.add(f"i-{number:010x}", 2, 0.1)
         for number in random.sample(range(ORGANISATIONS), ORGANISATIONS // 2):
             router.spreading._shares.ask(f"organisation-{number}", 20_000)
 
 
+async def call(router: SpreadRouter, endpoints: int) -> None:
+    """Ask for a place for requests for ever, and count them until they end."""
+    loop = asyncio.get_running_loop()
+    add = router.work.add
+    while True:
+        await asyncio.sleep(random.expovariate(REQUESTS_A_SECOND))
+        name = f"i-{random.randrange(endpoints):010x}"
+        endpoint = router.belief.view.get(name)
+        if endpoint is None:
+            continue
+        add(name, 1, READING_SECONDS)
+        loop.call_later(FIRST_SECONDS, add, name, 0, -READING_SECONDS)
+        loop.call_later(RUN_SECONDS, add, name, -1, 0.0)
+        await router.asking.ask(endpoint, READING_SECONDS, float("inf"))
+
+
 async def measure(routers: int, zones: int, endpoints: int) -> str:
     """Return the line of one size."""
     loop = asyncio.get_running_loop()
     store = new_store(endpoints)
     async with spread_fleet(store, routers, decode, zones) as fleet:
         await asyncio.sleep(SETTLE_SECONDS)
-        load(fleet, endpoints)
+        use(fleet)
+        calls_made = [
+            asyncio.create_task(call(router, endpoints)) for router in fleet.routers
+        ]
+        await asyncio.sleep(RUN_SECONDS)
         before = [router.link.sent_bytes for router in fleet.routers]
         store.calls = 0
         await asyncio.sleep(MEASURED_SECONDS)
@@ -67,6 +90,8 @@
             for router, start in zip(fleet.routers, before, strict=True)
         ]
         calls = store.calls / MEASURED_SECONDS
+        for task in calls_made:
+            task.cancel()
         store.configure(b"2")
         changed = loop.time()
         while any(router.belief.version < 2 for router in fleet.routers):  # noqa: PLR2004
