Report only what the router that admits does not know

Encoding costs 10 us and decoding 28 us, so the number of datagrams counts. Of four changes that a request makes the router that admits knows two from its own answers; reports go each 0.1 s instead of 0.05.

A question that got no answer may have been counted; it is reported in any case (the test of a caller that leaves while asking found that).

--- a/packages/fleet/src/teaselledge_fleet/process/asking.py
+++ b/packages/fleet/src/teaselledge_fleet/process/asking.py
@@ -28,9 +28,9 @@
 up to 40 ms in the queues of two busy processes. A request that got none is decided by
 what was heard before."""
 
-REPORT_SECONDS = 0.05
+REPORT_SECONDS = 0.1
 """Time between two reports to a router. An answer that has begun counts as reading for
-so much longer, a tenth of what requests wait at the bound."""
+half of it longer, an eighth of what requests wait at the bound."""
 
 REFRESH_SECONDS = 0.6
 """Time after which all work is told again, against losses and for a router that has
@@ -39,6 +39,8 @@
 SENDER_BITS = 31
 MILLISECONDS = 1000
 ANY_WAIT = -1
+UNKNOWN = Work(-1)
+"""Unlike any work that there can be."""
 
 
 class Socket(Protocol):
@@ -93,6 +95,8 @@
         self._number = secrets.randbits(SENDER_BITS)
         self._sequence = 0
         self._waiting: dict[int, asyncio.Future[Answer]] = {}
+        self._known: dict[str, Work] = {}
+        """What the routers that admit know of this router's work, by endpoint."""
         self.asked = 0
         self.unanswered = 0
         socket.on(WorkReport, self._take_report)
@@ -137,7 +141,14 @@
             return None
         finally:
             del self._waiting[question.sequence]
+            if not future.done() or future.cancelled():
+                # it may have counted the request all the same: report in any case
+                self._known[endpoint.id] = UNKNOWN
         self._keepers.answered(keeper)
+        if answer.admitted:
+            # it has counted the request, and need not be told
+            known = self._known.get(endpoint.id, Work())
+            self._known[endpoint.id] = known + Work(1, added)
         return answer
 
     async def run(self) -> None:
@@ -146,11 +157,11 @@
         refreshed = loop.time()
         while True:
             await asyncio.sleep(REPORT_SECONDS)
-            changed = self._work.take_changed()
+            changed = {n for n in self._work.take_changed() if self._is_news(n)}
             if loop.time() - refreshed >= REFRESH_SECONDS:
                 refreshed = loop.time()
                 changed |= set(self._work.busy)
-                self._keepers.keep(e.id for e in self._view.endpoints)
+                self._forget()
             self.report(changed)
 
     def report(self, endpoints: Iterable[str]) -> None:
@@ -165,6 +176,7 @@
             if keeper is None:
                 continue
             addresses[keeper.vm] = keeper.peers
+            self._known[name] = self._work.own(name)
             reports[keeper.vm][key_of(name)] = self._work.own(name)
         for vm, work in reports.items():
             self._sequence += 1
@@ -174,6 +186,21 @@
             report = WorkReport(self._number, self._sequence, pack_work(work))
             self._socket.send(addresses[vm], report)
 
+    def _is_news(self, name: str) -> bool:
+        """Whether the router that admits to an endpoint knows other work of this one.
+
+        Of four changes that a request makes, it knows two from its own answers.
+        """
+        own, known = self._work.own(name), self._known.get(name, Work())
+        apart = abs(own.reading - known.reading)
+        return own.running != known.running or apart * MILLISECONDS >= 1
+
+    def _forget(self) -> None:
+        """Forget endpoints that are gone."""
+        names = {endpoint.id for endpoint in self._view.endpoints}
+        self._keepers.keep(names)
+        self._known = {n: w for n, w in self._known.items() if n in names}
+
     def _question(self, endpoint: Endpoint, added: float, most_wait: float) -> Question:
         self._sequence += 1
         own = self._work.own(endpoint.id).without(Work(1, added))
