--- /dev/null
+++ b/packages/standins/src/teaselledge_standins/loopback.py
@@ -0,0 +1,60 @@
+"""A TCP server on loopback that ends all its connections when it is closed."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+__all__ = ["LoopbackServer", "Serve"]
+
+Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+"""Serves one connection, which is closed afterwards."""
+
+
+class LoopbackServer:
+    """Serves each connection by one task.
+
+    Parameters
+    ----------
+    serve : callable
+        Serves one connection.
+
+    Attributes
+    ----------
+    address : str
+        ``host:port`` where it listens.
+    """
+
+    def __init__(self, serve: Serve) -> None:
+        self._serve_one = serve
+        self.address = ""
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def listen(self) -> None:
+        """Start to listen."""
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    async def close(self) -> None:
+        """Stop listening and end all connections."""
+        if self._server is not None:
+            self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        try:
+            await self._serve_one(reader, writer)
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            # the other side broke off, or the server is closed; asyncio's server
+            # would log a cancelled handler as an error
+            return
+        finally:
+            writer.close()
--- a/packages/standins/src/teaselledge_standins/processes.py
+++ b/packages/standins/src/teaselledge_standins/processes.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import hashlib
+import os
 import secrets
 import signal
 import socket
 import subprocess
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -18,7 +19,14 @@
 
 from teaselledge_standins.caller import Caller
 
-__all__ = ["ProcessEndedError", "ProcessFleet", "running_processes"]
+__all__ = [
+    "ProcessEndedError",
+    "ProcessFleet",
+    "end_process",
+    "free_ports",
+    "running_processes",
+    "start_process",
+]
 
 ROUTERS = {"r1": "north-a", "r2": "north-b"}
 REGION = "north"
@@ -54,6 +62,28 @@
     return True
 
 
+def start_process(
+    log: Path, *arguments: str, environment: Mapping[str, str] | None = None
+) -> subprocess.Popen[bytes]:
+    """Start the interpreter with arguments; its output is added to a file."""
+    with log.open("ab") as output:
+        return subprocess.Popen(
+            [sys.executable, *arguments],
+            stdout=output,
+            stderr=output,
+            env={**os.environ, **(environment or {})},
+        )
+
+
+def end_process(process: subprocess.Popen[bytes]) -> None:
+    """Kill a process, stopped or not, and wait for its end."""
+    if process.poll() is None:
+        # a stopped process must go on to be ended
+        process.send_signal(signal.SIGCONT)
+        process.kill()
+    process.wait()
+
+
 def digest(key: str) -> str:
     """Return the digest of a key, as the document holds it."""
     return hashlib.sha256(key.encode()).hexdigest()
@@ -74,10 +104,8 @@
 
     def start(self, name: str, module: str, *arguments: str) -> None:
         """Start a module of the project as a process."""
-        log = (self.folder / f"{name}.log").open("ab")
-        command = [sys.executable, "-m", module, *arguments]
-        self.processes[name] = subprocess.Popen(command, stderr=log, stdout=log)
-        log.close()
+        log = self.folder / f"{name}.log"
+        self.processes[name] = start_process(log, "-m", module, *arguments)
 
     def start_router(self, name: str) -> None:
         """Start a router with its settings."""
@@ -174,11 +202,7 @@
     def stop(self) -> None:
         """Kill what still runs."""
         for process in self.processes.values():
-            if process.poll() is None:
-                # a stopped process must go on to be ended
-                process.send_signal(signal.SIGCONT)
-                process.kill()
-            process.wait()
+            end_process(process)
 
     def _endpoint(self, address: str, zone: str) -> dict[str, Any]:
         return {"address": address, "zone": zone, "slots": 4}
--- a/packages/standins/src/teaselledge_standins/scripted.py
+++ b/packages/standins/src/teaselledge_standins/scripted.py
@@ -4,7 +4,9 @@
 import socket
 import struct
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+
+from teaselledge_standins.loopback import LoopbackServer
 
 __all__ = ["Received", "ScriptedEndpoint", "answer_bytes", "reset"]
 
@@ -32,8 +34,7 @@
 """Answers one request on its connection."""
 
 
-@dataclass
-class ScriptedEndpoint:
+class ScriptedEndpoint(LoopbackServer):
     """Listens on loopback and lets a script answer.
 
     Attributes
@@ -48,54 +49,32 @@
         Set when the other side closes a connection during an answer.
     """
 
-    script: Script
-    received: list[Received] = field(default_factory=list)
-    connections: int = 0
-    left: asyncio.Event = field(default_factory=asyncio.Event)
-    _address: str = ""
-    _server: asyncio.Server | None = None
-    _tasks: set["asyncio.Task[None]"] = field(default_factory=set)
-
-    @property
-    def address(self) -> str:
-        """``host:port`` where it listens."""
-        return self._address
+    def __init__(self, script: Script) -> None:
+        super().__init__(self._serve)
+        self.script = script
+        self.received: list[Received] = []
+        self.connections = 0
+        self.left = asyncio.Event()
 
     async def __aenter__(self) -> "ScriptedEndpoint":
         """Start to listen."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()[:2]
-        self._address = f"{host}:{port}"
+        await self.listen()
         return self
 
     async def __aexit__(self, *error: object) -> None:
         """Close everything."""
-        assert self._server is not None
-        self._server.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.close()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        """Read one request after the other, and let the script answer each."""
         self.connections += 1
-        try:
-            while True:
-                request = await _read(reader)
-                self.received.append(request)
-                answering = asyncio.ensure_future(self.script(request, writer))
-                await self._watch(reader, answering)
-        except (asyncio.IncompleteReadError, ConnectionError):
-            return
-        except asyncio.CancelledError:
-            return
-        finally:
-            writer.close()
+        while True:
+            request = await _read(reader)
+            self.received.append(request)
+            answering = asyncio.ensure_future(self.script(request, writer))
+            await self._watch(reader, answering)
 
     async def _watch(
         self, reader: asyncio.StreamReader, answering: "asyncio.Future[None]"
