One place for headers that pass, and what pulses share made once

The adapter and the product's own interface each kept a list of the headers of one connection and the loop that leaves them out; both call teaselledge_fleet.request.headers. The loop that collects pairs stood in both dialects.

A speaker made the whole pulse anew for each router of its zone: totals of admission, use of organisations, the routers that answer and those that admit. They are made once for each moment; only sums and named routers differ from receiver to receiver.

Gone, as nobody read them: Ran, EndpointHead.elsewhere, Page.headers.

Behaviour is as before.

--- a/packages/fleet/src/teaselledge_fleet/connection/pages.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/pages.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
@@ -29,7 +29,6 @@
     status: int
     body: bytes = b""
     kind: str = "text/plain"
-    headers: tuple[tuple[str, str], ...] = field(default=())
 
 
 Answer = Callable[[str, dict[str, str]], Page]
@@ -60,7 +59,7 @@
             for name, values in request.query_arguments.items()
         }
         page = self._answer(request.path, arguments)
-        headers = HTTPHeaders(dict(page.headers))
+        headers = HTTPHeaders()
         headers["Content-Type"] = page.kind
         headers["Content-Length"] = str(len(page.body))
         line = ResponseStartLine(
--- a/packages/fleet/src/teaselledge_fleet/process/spreading.py
+++ b/packages/fleet/src/teaselledge_fleet/process/spreading.py
@@ -1,8 +1,10 @@
 """Tell other routers what this one knows, and learn from them."""
 
 import asyncio
+import copy
 import random
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from teaselledge_wire.gen.fleet.ttypes import EndpointState, Pulse, WholeState
 
@@ -76,6 +78,28 @@
 """Least time between two fetches of a whole state."""
 
 
+@dataclass(frozen=True)
+class _Known:
+    """What a router tells in all pulses of one moment.
+
+    A speaker sends each router of its zone another sum, and would look all this up
+    for each of them.
+
+    Attributes
+    ----------
+    work : dict of int to Work
+        At the endpoints to which this router admits.
+    uses : dict of int to Use
+        Of organisations, by its own requests.
+    mates : list of Member
+        Other routers of its zone that answer.
+    """
+
+    work: dict[int, Work]
+    uses: dict[int, Use]
+    mates: list[Member]
+
+
 class Spreading:
     """Sends pulses to the other routers and takes theirs."""
 
@@ -133,14 +157,20 @@
         self._note_unheard()
         changes = self._next_changes()
         self._sequence += 1
+        known = self._known()
+        common: dict[Scope, Pulse] = {}
         for audience in self._topology.audiences():
-            pulse = self._make(audience.scope, changes, audience.members)
+            scope = audience.scope
+            if scope not in common:
+                common[scope] = self._make(scope, changes, known)
+            pulse = self._fill(common[scope], audience.members, known)
             for member in audience.members:
                 self._socket.send(member.peers, pulse)
-        known = {member.peers for member in self._members.others}
+        told = {member.peers for member in self._members.others}
         for seed in self._seeds:
-            if seed not in known and seed != self._members.own.peers:
-                self._socket.send(seed, self._make(Scope.OWN, changes))
+            if seed not in told and seed != self._members.own.peers:
+                pulse = self._make(Scope.OWN, changes, known)
+                self._socket.send(seed, self._fill(pulse, [], known))
 
     def state(self) -> WholeState:
         """Return everything this router knows."""
@@ -196,14 +226,14 @@
             self._soon.set()
         return [_to_wire(entry) for entry, _ in now]
 
-    def _make(
-        self,
-        scope: Scope,
-        changes: list[EndpointState],
-        receivers: list[Member] | None = None,
-    ) -> Pulse:
+    def _known(self) -> _Known:
+        zone = self._members.own.zone
+        mates = [m for m in self._members.answering if m.zone == zone]
+        return _Known(self._admission.totals(), self._shares.own(), mates)
+
+    def _make(self, scope: Scope, changes: list[EndpointState], known: _Known) -> Pulse:
+        """Return what all pulses of a scope have in common."""
         belief = self._belief
-        work, uses = self._figures(scope, receivers or [])
         return Pulse(
             PROTOCOL,
             self._members.own.to_wire(),
@@ -214,13 +244,20 @@
             belief.follower,
             changes,
             int(scope),
-            pack_work(work),
-            pack_uses(uses),
-            [member.to_wire() for member in self._rumours(scope)],
-            pack_alive(self._mates()) if scope is Scope.OTHERS else b"",
-            [member.to_wire() for member in self._admitting(scope)],
+            alive=pack_alive(known.mates) if scope is Scope.OTHERS else b"",
+            admitting=[member.to_wire() for member in self._admitting(scope)],
         )
 
+    def _fill(self, common: Pulse, receivers: list[Member], known: _Known) -> Pulse:
+        """Return a pulse with what differs from receiver to receiver."""
+        scope = Scope(common.scope)
+        work, uses = self._figures(scope, receivers, known)
+        pulse = copy.copy(common)
+        pulse.work = pack_work(work)
+        pulse.uses = pack_uses(uses)
+        pulse.others = [member.to_wire() for member in self._rumours(scope)]
+        return pulse
+
     def _admitting(self, scope: Scope) -> list[Member]:
         """Return the routers that admit in one zone, a different one each time."""
         if scope is Scope.OWN or self._sequence % ADMITTING_EVERY:
@@ -234,19 +271,14 @@
         turn = self._sequence // ADMITTING_EVERY
         return self._keepers.of_zone(zones[turn % len(zones)])
 
-    def _mates(self) -> list[Member]:
-        """Return the other routers of this zone that answer."""
-        zone = self._members.own.zone
-        return [m for m in self._members.answering if m.zone == zone]
-
     def _figures(
-        self, scope: Scope, receivers: list[Member]
+        self, scope: Scope, receivers: list[Member], known: _Known
     ) -> tuple[dict[int, Work], dict[int, Use]]:
         """Return the work and use that a scope stands for."""
-        work, uses = self._admission.totals(), self._shares.own()
         if scope is Scope.OWN:
-            return work, uses
-        sources = {member.vm for member in self._mates()}
+            return known.work, known.uses
+        work, uses = dict(known.work), dict(known.uses)
+        sources = {member.vm for member in known.mates}
         if scope is Scope.OTHERS:
             sources -= {member.vm for member in receivers}
             sources |= {_zone_source(zone) for zone in self._heard_zones}
@@ -304,7 +336,8 @@
         zone it would take no callers, and names none but itself to those who ask.
         """
         mates = [m for m in self._members.others if m.zone == newcomer.zone]
-        pulse = self._make(Scope.OWN, [])
+        known = self._known()
+        pulse = self._fill(self._make(Scope.OWN, [], known), [newcomer], known)
         named = random.sample(mates, min(INTRODUCED, len(mates)))
         pulse.others = [member.to_wire() for member in named]
         self._socket.send(newcomer.peers, pulse)
--- a/packages/fleet/src/teaselledge_fleet/request/call.py
+++ b/packages/fleet/src/teaselledge_fleet/request/call.py
@@ -1,7 +1,6 @@
 """One request as the router understands it, whatever its wire names."""
 
 from dataclasses import dataclass
-from enum import Enum
 from typing import Protocol
 
 from tornado.httputil import HTTPHeaders
@@ -13,18 +12,9 @@
     "Onward",
     "Prompt",
     "PromptPart",
-    "Ran",
 ]
 
 
-class Ran(Enum):
-    """Whether an endpoint may have carried out the request."""
-
-    NO = "no"
-    YES = "yes"
-    UNKNOWN = "unknown"
-
-
 @dataclass(frozen=True)
 class PromptPart:
     """A part of a prompt, which other prompts may share.
@@ -140,8 +130,6 @@
         Whether it answers this request, not another one.
     declined : bool
         The endpoint says that it has not run the request and never will.
-    elsewhere : bool
-        Another endpoint has taken over the address.
     sound : bool
         False for an answer that can't be the endpoint's own.
     """
@@ -150,7 +138,6 @@
     headers: HTTPHeaders
     own: bool
     declined: bool
-    elsewhere: bool
     sound: bool
 
 
--- a/packages/fleet/src/teaselledge_fleet/request/owndialect.py
+++ b/packages/fleet/src/teaselledge_fleet/request/owndialect.py
@@ -5,6 +5,7 @@
 from tornado.httputil import HTTPHeaders
 
 from teaselledge_fleet.request.call import Call, EndpointHead, Onward
+from teaselledge_fleet.request.headers import from_pairs
 
 __all__ = ["OwnDialect"]
 
@@ -80,9 +81,7 @@
         self, call: Call, status: int, headers: list[tuple[str, str]]
     ) -> EndpointHead:
         """Decode the head of an endpoint's answer."""
-        fields = HTTPHeaders()
-        for name, value in headers:
-            fields.add(name, value)
+        fields = from_pairs(headers)
         passed = HTTPHeaders()
         for name, value in fields.get_all():
             if name.lower() not in OWN or name.lower() == "content-length":
@@ -93,7 +92,6 @@
             headers=passed,
             own=fields.get(REQUEST_ID, call.id) == call.id,
             declined=declined,
-            elsewhere=False,
             sound=REQUEST_ID in fields or status not in SUCCESS,
         )
 
--- a/packages/router/src/teaselledge/connection/headers.py
+++ b/packages/router/src/teaselledge/connection/headers.py
@@ -1,29 +1,14 @@
 """Which headers pass from one side of the router to the other."""
 
+from teaselledge_fleet.request.headers import passed_on as without_hop
 from tornado.httputil import HTTPHeaders
 
 __all__ = ["header_size", "passed_on"]
 
-HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-"""Headers of one connection, from RFC 9110, section 7.6.1."""
-
 OWN = frozenset(
     {
         "authorization",
         "content-length",
-        "expect",
         "host",
         "idempotency-key",
         "x-request-id",
@@ -39,13 +24,7 @@
 
 def passed_on(headers: HTTPHeaders) -> HTTPHeaders:
     """Return the headers without those of one hop and the router's own."""
-    named = {n.strip().lower() for n in headers.get("Connection", "").split(",")}
-    dropped = HOP_BY_HOP | OWN | named
-    result = HTTPHeaders()
-    for name, value in headers.get_all():
-        if name.lower() not in dropped:
-            result.add(name, value)
-    return result
+    return without_hop(headers, OWN)
 
 
 def header_size(headers: HTTPHeaders) -> int:
