Give out no port twice to the processes of tests

Cause: free_ports chose the same port for one router's operators and another's callers; neither listened yet, so both looked free. The operators' command then reached the callers' listener.

Ruled out: the change of headers and pulses (the failing call is of the product's own interface, before any request), load (the run had the machine to itself).

Change: ports that were given out are not given out again soon, and processes that run side by side choose from different parts of the range.

--- a/packages/standins/src/teaselledge_standins/processes.py
+++ b/packages/standins/src/teaselledge_standins/processes.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import sys
+from collections import deque
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -44,12 +45,29 @@
     """A process of the fleet ended before it was ready."""
 
 
+SLICES = 50
+"""Parts of these ports; processes that run at the same time choose from different
+ones, as their ids follow one another."""
+
+REMEMBERED = 200
+"""Ports given out that are not given out again, half of a part.
+
+What was given out a moment ago does not listen yet and looks free. Chosen twice, one
+process can't start, and who calls it reaches another one.
+"""
+
+_given: deque[int] = deque(maxlen=REMEMBERED)
+
+
 def free_ports(count: int) -> list[int]:
-    """Return ports on loopback that are free now."""
+    """Return ports on loopback that are free now and were not given out lately."""
+    size = len(PORTS) // SLICES
+    first = os.getpid() % SLICES * size
     chosen: list[int] = []
     while len(chosen) < count:
-        port = secrets.choice(PORTS)
-        if port not in chosen and _is_free(port):
+        port = secrets.choice(PORTS[first : first + size])
+        if port not in _given and _is_free(port):
+            _given.append(port)
             chosen.append(port)
     return chosen
 
