Log which routers enter and leave the directory, and by what evidence

While a VM without power was named for 7 s, no line told why: the logs show neither that a router turned silent nor that another router's word renewed it, and the metrics count only routers that are heard. Each change of the directory now writes one line with whether the router was heard itself and how long ago; a metric counts the routers that are advertised. Nothing else changes.

--- a/packages/fleet/src/teaselledge_fleet/process/members.py
+++ b/packages/fleet/src/teaselledge_fleet/process/members.py
@@ -9,7 +9,7 @@
 
 from teaselledge_fleet.process.work import key_of
 
-__all__ = ["Member", "MemberState", "Members"]
+__all__ = ["Evidence", "Member", "MemberState", "Members"]
 
 SILENT_SECONDS = 1.0
 """Silence after which callers are not sent to a router.
@@ -101,6 +101,22 @@
         )
 
 
+@dataclass(frozen=True)
+class Evidence:
+    """What a router is known by.
+
+    Attributes
+    ----------
+    direct : bool
+        Whether it was heard itself.
+    age : float
+        Seconds since the latest news of it.
+    """
+
+    direct: bool
+    age: float
+
+
 @dataclass
 class _Known:
     member: Member
@@ -161,6 +177,13 @@
         """Return whether a router is known, silent or not."""
         return vm in self._known or vm == self._own.vm
 
+    def evidence(self, vm: str) -> Evidence | None:
+        """Return what another router is known by; None where it isn't known."""
+        known = self._known.get(vm)
+        if known is None:
+            return None
+        return Evidence(known.direct, self._now() - known.heard)
+
     def set_state(self, state: MemberState) -> None:
         """Change what this router says of itself."""
         self._own = replace(self._own, state=state)
--- a/packages/fleet/src/teaselledge_fleet/process/metrics.py
+++ b/packages/fleet/src/teaselledge_fleet/process/metrics.py
@@ -73,6 +73,9 @@
         "counter", "questions", "Those that got no answer in time."
     ),
     "routers_answering": Metric("gauge", "routers", "Other routers heard lately."),
+    "routers_advertised": Metric(
+        "gauge", "routers", "Routers that callers are sent to, by this one's directory."
+    ),
 }
 
 
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -271,6 +271,7 @@
         metrics.set("version", self._belief.version)
         metrics.set("store_age_seconds", -1.0 if age is None else age)
         metrics.set("routers_answering", len(self._members.answering))
+        metrics.set("routers_advertised", len(self._members.ready))
         metrics.set_total("store_calls", self._follower.calls)
         metrics.set_total("endpoint_connections", self._pool.opened)
         metrics.set_total("admissions_asked", self._asking.asked)
--- a/packages/fleet/src/teaselledge_fleet/process/spreading.py
+++ b/packages/fleet/src/teaselledge_fleet/process/spreading.py
@@ -20,6 +20,7 @@
 from teaselledge_fleet.connection.peers import StateClient
 from teaselledge_fleet.log import get_log
 from teaselledge_fleet.process.admission import Admission
+from teaselledge_fleet.process.advertised import AdvertisedLog
 from teaselledge_fleet.process.asking import Socket
 from teaselledge_fleet.process.belief import Belief
 from teaselledge_fleet.process.endpoints import Endpoint, Entry
@@ -121,6 +122,7 @@
         self._admission = admission
         self._keepers = keepers
         self._shares = shares
+        self._advertised_log = AdvertisedLog(members)
         self._topology = Topology(members)
         self._socket = socket
         socket.on(Pulse, self._hear)
@@ -154,6 +156,7 @@
 
     def pulse(self) -> None:
         """Send a pulse to each router that is to be told."""
+        self._advertised_log.update()
         self._note_unheard()
         changes = self._next_changes()
         self._sequence += 1
