Relay the age with which a router of the zone was heard

Pulses now carry the ages (Pulse.alive_ages, a byte a router); a release that tells none is taken as a second old.

Known times of a router are kept apart by source (heard here, relayed in the zone, reported), each with the silence that it bears: 1, 2 and 3 s. As before a router of the zone leaves the directory about 2 s after its last pulse, now never later.

Looked at and left: who admits in a zone is passed on without an age, for 25 s; routers pass over those that don't answer two questions, so callers are not sent anywhere by it.

--- a/packages/fleet/src/teaselledge_fleet/connection/figures.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/figures.py
@@ -2,11 +2,17 @@
 
 import struct
 
-from teaselledge_fleet.process.members import Member, MemberState
+from teaselledge_fleet.process.members import (
+    SILENT_SECONDS,
+    MemberState,
+    Report,
+    Status,
+)
 from teaselledge_fleet.process.shares import Use
 from teaselledge_fleet.process.work import Work, key_of
 
 __all__ = [
+    "pack_ages",
     "pack_alive",
     "pack_uses",
     "pack_work",
@@ -24,6 +30,10 @@
 ALIVE = struct.Struct("!IBB")
 """Router, its state, and the part of its cores in use in percent."""
 
+AGE_SECONDS = 0.01
+OLDEST = 255
+"""Unit of an age, and the largest that a byte holds: 2.55 s, more than counts."""
+
 MILLISECONDS = 1000
 PERCENT = 100
 SHORT = 0xFFFF
@@ -71,22 +81,42 @@
     }
 
 
-def pack_alive(members: list[Member]) -> bytes:
+def pack_alive(reports: list[Report]) -> bytes:
     """Return which routers answer, as bytes."""
     return b"".join(
-        ALIVE.pack(key_of(m.vm), int(m.state), _cut(m.busy * PERCENT, PERCENT))
-        for m in members[: MOST_BYTES // ALIVE.size]
+        ALIVE.pack(
+            key_of(report.member.vm),
+            int(report.member.state),
+            _cut(report.member.busy * PERCENT, PERCENT),
+        )
+        for report in reports[: MOST_BYTES // ALIVE.size]
+    )
+
+
+def pack_ages(reports: list[Report]) -> bytes:
+    """Return how long ago these routers were heard, as bytes in the same order."""
+    return bytes(
+        OLDEST if report.silent is None else _cut(report.silent / AGE_SECONDS, OLDEST)
+        for report in reports[: MOST_BYTES // ALIVE.size]
     )
 
 
-def unpack_alive(data: bytes) -> dict[int, tuple[MemberState, float]]:
-    """Return state and use of the routers that bytes tell of."""
+def unpack_alive(data: bytes, ages: bytes) -> dict[int, Status]:
+    """Return what bytes tell of routers, by key.
+
+    A sender of an earlier release tells no ages; it names a router for as long as one
+    counts as answering.
+    """
     whole = data[: len(data) - len(data) % ALIVE.size]
-    return {
-        key: (MemberState(state), busy / PERCENT)
-        for key, state, busy in ALIVE.iter_unpack(whole)
-        if state in MemberState.__members__.values()
-    }
+    found = {}
+    for place, (key, state, busy) in enumerate(ALIVE.iter_unpack(whole)):
+        if state not in MemberState.__members__.values():
+            continue
+        silent = SILENT_SECONDS
+        if place < len(ages):
+            silent = ages[place] * AGE_SECONDS
+        found[key] = Status(MemberState(state), busy / PERCENT, silent)
+    return found
 
 
 def _cut(number: float, most: int) -> int:
--- a/packages/fleet/src/teaselledge_fleet/process/members.py
+++ b/packages/fleet/src/teaselledge_fleet/process/members.py
@@ -10,7 +10,7 @@
 
 from teaselledge_fleet.process.work import key_of
 
-__all__ = ["Evidence", "Member", "MemberState", "Members", "Report"]
+__all__ = ["Evidence", "Member", "MemberState", "Members", "Report", "Status"]
 
 SILENT_SECONDS = 1.0
 """Silence after which callers are not sent to a router.
@@ -20,6 +20,10 @@
 power makes each caller that still connects to it wait a second.
 """
 
+RELAYED_SECONDS = 2.0
+"""The same for routers of the own zone that are heard through another one of it: their
+own pulses come each 0.4 s, and so do those that relay them."""
+
 HINT_SECONDS = 3.0
 """The same for routers that others have heard. Callers are sent to them only where
 their own zone has too few."""
@@ -133,6 +137,25 @@
         return info
 
 
+@dataclass(frozen=True)
+class Status:
+    """What the router that speaks for a zone tells of another one of it.
+
+    Attributes
+    ----------
+    state : MemberState
+        What that one says of itself.
+    busy : float
+        Part of its processor time that is in use.
+    silent : float
+        Seconds since it was heard itself.
+    """
+
+    state: MemberState
+    busy: float
+    silent: float
+
+
 @dataclass(frozen=True)
 class Evidence:
     """What a router is known by.
@@ -152,11 +175,35 @@
 @dataclass
 class _Known:
     member: Member
-    heard: float
-    """Loop time at which it was last heard itself, by any router."""
-    direct: bool
     noted: float
     """Loop time at which it was heard or became known."""
+    direct: float = -math.inf
+    """Loop time at which this router last heard it."""
+    relayed: float = -math.inf
+    """The same of the router that speaks for this zone."""
+    reported: float = -math.inf
+    """The same of any other router."""
+
+    @property
+    def heard(self) -> float:
+        """Loop time at which any router last heard it."""
+        return max(self.direct, self.relayed, self.reported)
+
+    def answers(self, now: float) -> bool:
+        """Whether it was heard lately, here or in this zone."""
+        return (
+            now - self.direct <= SILENT_SECONDS or now - self.relayed <= RELAYED_SECONDS
+        )
+
+    def settled(self, now: float) -> bool:
+        """Whether reports of others can't tell more than is known here."""
+        return now - max(self.direct, self.relayed) < HINT_SECONDS
+
+    def advertised(self, now: float) -> bool:
+        """Whether callers may be sent to it."""
+        if self.settled(now):
+            return self.answers(now)
+        return now - self.reported <= HINT_SECONDS
 
 
 class Members:
@@ -193,20 +240,14 @@
     def answering(self) -> list[Member]:
         """The other routers that were heard lately."""
         now = self._now()
-        return [
-            known.member
-            for known in self._known.values()
-            if known.direct and now - known.heard <= SILENT_SECONDS
-        ]
+        return [known.member for known in self._known.values() if known.answers(now)]
 
     @property
     def ready(self) -> list[Member]:
         """Routers that take requests, this one included where it does."""
         now = self._now()
         others = [
-            known.member
-            for known in self._known.values()
-            if now - known.heard <= (SILENT_SECONDS if known.direct else HINT_SECONDS)
+            known.member for known in self._known.values() if known.advertised(now)
         ]
         everyone = [*others, self._own]
         return [m for m in everyone if m.state is MemberState.READY]
@@ -237,7 +278,7 @@
         known = self._known.get(vm)
         if known is None:
             return None
-        return Evidence(known.direct, self._now() - known.heard)
+        return Evidence(known.heard == known.direct, self._now() - known.heard)
 
     def set_state(self, state: MemberState) -> None:
         """Change what this router says of itself."""
@@ -253,19 +294,24 @@
             return False
         known = self._known.get(member.vm)
         now = self._now()
-        self._known[member.vm] = _Known(member, now, True, now)
+        relayed = known.relayed if known is not None else -math.inf
+        self._known[member.vm] = _Known(member, now, direct=now, relayed=relayed)
         return known is None or known.member != member
 
-    def vouch(self, told: Mapping[int, tuple[MemberState, float]]) -> None:
-        """Take which routers answer the speaker of this zone, by their numbers."""
+    def take_statuses(self, told: Mapping[int, Status]) -> None:
+        """Take what the router that speaks for this zone tells, by their numbers."""
         now = self._now()
         for known in self._known.values():
-            found = told.get(key_of(known.member.vm))
-            if found is None:
+            status = told.get(key_of(known.member.vm))
+            if status is None:
                 continue
-            state, busy = found
-            known.member = replace(known.member, state=state, busy=busy)
-            known.heard, known.direct, known.noted = now, True, now
+            heard = now - status.silent
+            if heard > known.heard:
+                known.member = replace(
+                    known.member, state=status.state, busy=status.busy
+                )
+            known.relayed = max(known.relayed, heard)
+            known.noted = max(known.noted, heard)
 
     def learn(self, report: Report) -> bool:
         """Take what another router tells of one; True where it was unknown."""
@@ -274,17 +320,17 @@
             return False
         now = self._now()
         known = self._known.get(member.vm)
-        if known is not None and known.direct and now - known.heard < HINT_SECONDS:
+        if known is not None and known.settled(now):
             return False
         if report.silent is None:
             # an address to try, no sign of life
             if known is None:
-                self._known[member.vm] = _Known(member, -math.inf, False, now)
+                self._known[member.vm] = _Known(member, now)
             return known is None
         heard = now - report.silent
         if known is not None and heard <= known.heard:
             return False
-        self._known[member.vm] = _Known(member, heard, False, heard)
+        self._known[member.vm] = _Known(member, heard, reported=heard)
         return known is None
 
     def _now(self) -> float:
--- a/packages/fleet/src/teaselledge_fleet/process/spreading.py
+++ b/packages/fleet/src/teaselledge_fleet/process/spreading.py
@@ -15,6 +15,7 @@
 
 from teaselledge_fleet.connection.codec import PROTOCOL
 from teaselledge_fleet.connection.figures import (
+    pack_ages,
     pack_alive,
     pack_uses,
     pack_work,
@@ -242,9 +243,12 @@
     def _make(self, scope: Scope, changes: list[EndpointState], known: _Known) -> Pulse:
         """Return what all pulses of a scope have in common."""
         belief = self._belief
+        members = self._members
+        mates = known.mates if scope is Scope.OTHERS else []
+        alive = [members.report(mate) for mate in mates]
         return Pulse(
             PROTOCOL,
-            self._members.own.to_wire(),
+            members.own.to_wire(),
             self._sequence,
             belief.version,
             belief.view.digest,
@@ -252,7 +256,8 @@
             belief.follower,
             changes,
             int(scope),
-            alive=pack_alive(known.mates) if scope is Scope.OTHERS else b"",
+            alive=pack_alive(alive),
+            alive_ages=pack_ages(alive),
             admitting=[member.to_wire() for member in self._admitting(scope)],
         )
 
@@ -371,7 +376,8 @@
             source = OTHERS_SOURCE
             self._work.keep_source(source)
             self._shares.keep_source(source)
-            self._members.vouch(unpack_alive(pulse.alive or b""))
+            alive = unpack_alive(pulse.alive or b"", pulse.alive_ages or b"")
+            self._members.take_statuses(alive)
         elif not self._topology.flat and not (near and speaks):
             # the speaker tells of its work; it must not count twice
             return
--- a/packages/fleet/tests/test_members.py
+++ b/packages/fleet/tests/test_members.py
@@ -4,6 +4,7 @@
 from contextlib import contextmanager
 from dataclasses import replace
 
+from teaselledge_fleet.connection.figures import pack_ages, pack_alive, unpack_alive
 from teaselledge_fleet.process.members import Member, Members, MemberState, Report
 
 VIRTUAL_CLOCK = True
@@ -58,3 +59,28 @@
     assert not advertised(members)
     members.learn(Report(OTHER, 0.5))
     assert advertised(members)
+
+
+def relayed(silent: float) -> dict:
+    """Return what a router of the zone tells of the other one."""
+    reports = [Report(OTHER, silent)]
+    return unpack_alive(pack_alive(reports), pack_ages(reports))
+
+
+async def test_status_from_the_own_zone_ages_with_the_evidence_behind_it(members):
+    """When routers take turns in speaking for a zone, each would renew a silent one."""
+    members.hear(OTHER)
+    for _ in range(6):
+        await asyncio.sleep(0.4)
+        silent = members.report(OTHER).silent
+        members.take_statuses(relayed(silent))
+        assert advertised(members) == (silent <= 2.0)
+    assert members.report(OTHER).silent > 2.3
+
+
+async def test_status_of_an_earlier_release_counts_as_old(members):
+    members.hear(OTHER)
+    await asyncio.sleep(5)
+    members.take_statuses(unpack_alive(pack_alive([Report(OTHER, 0.1)]), b""))
+    assert members.answering == [OTHER]
+    assert members.report(OTHER).silent == 1.0
--- a/packages/wire/fleet.thrift
+++ b/packages/wire/fleet.thrift
@@ -51,6 +51,8 @@
   13: binary alive,
   // the routers of one zone that admit to its endpoints, in some pulses
   14: list<RouterInfo> admitting,
+  // how long ago each router of alive was heard, packed
+  15: optional binary alive_ages,
 }
 
 // Everything, for a router that knows less.
--- a/packages/wire/src/teaselledge_wire/gen/fleet/ttypes.py
+++ b/packages/wire/src/teaselledge_wire/gen/fleet/ttypes.py
@@ -373,6 +373,7 @@
      - others
      - alive
      - admitting
+     - alive_ages
 
     """
 
@@ -391,10 +392,11 @@
         'others',
         'alive',
         'admitting',
+        'alive_ages',
     )
 
 
-    def __init__(self, protocol=None, sender=None, sequence=None, version=None, digest=None, store_age=None, follower=None, changes=None, scope=None, work=None, uses=None, others=None, alive=None, admitting=None,):
+    def __init__(self, protocol=None, sender=None, sequence=None, version=None, digest=None, store_age=None, follower=None, changes=None, scope=None, work=None, uses=None, others=None, alive=None, admitting=None, alive_ages=None,):
         self.protocol = protocol
         self.sender = sender
         self.sequence = sequence
@@ -409,6 +411,7 @@
         self.others = others
         self.alive = alive
         self.admitting = admitting
+        self.alive_ages = alive_ages
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -508,6 +511,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.STRING:
+                    self.alive_ages = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -583,6 +591,10 @@
                 iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.alive_ages is not None:
+            oprot.writeFieldBegin('alive_ages', TType.STRING, 15)
+            oprot.writeBinary(self.alive_ages)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1588,6 +1600,7 @@
     (12, TType.LIST, 'others', (TType.STRUCT, [RouterInfo, None], False), None, ),  # 12
     (13, TType.STRING, 'alive', 'BINARY', None, ),  # 13
     (14, TType.LIST, 'admitting', (TType.STRUCT, [RouterInfo, None], False), None, ),  # 14
+    (15, TType.STRING, 'alive_ages', 'BINARY', None, ),  # 15
 )
 all_structs.append(WholeState)
 WholeState.thrift_spec = (
