Report routers of other zones to a zone, its own are told already

A busy zone sends callers there. Half of the reports named routers of the receiver's own zone, which the same pulse tells of.

--- a/packages/fleet/src/teaselledge_fleet/process/spreading.py
+++ b/packages/fleet/src/teaselledge_fleet/process/spreading.py
@@ -308,9 +308,11 @@
         """Return some routers that the receivers may not hear themselves."""
         if self._sequence % RUMOUR_EVERY:
             return []
-        known = self._members.answering
+        members = self._members
+        known = members.answering
         if scope is Scope.OTHERS:
-            known = self._members.ready
+            # the zone's own routers are told with their ages already
+            known = [m for m in members.ready if m.zone != members.own.zone]
         return random.sample(known, min(RUMOURS, len(known)))
 
     def _hear(self, pulse: Pulse, address: str) -> None:
