--- a/packages/fleet/src/teaselledge_fleet/connection/front.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/front.py
@@ -4,6 +4,7 @@
 import random
 import socket
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Any
 
 from tornado.http1connection import HTTP1Connection
@@ -18,8 +19,8 @@
     ResponseStartLine,
     responses,
 )
-from tornado.iostream import StreamClosedError
-from tornado.netutil import bind_sockets
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.netutil import add_accept_handler, bind_sockets
 
 from teaselledge_fleet.log import get_log
 
@@ -52,16 +53,23 @@
         The whole body.
     arrived : float
         Loop time at which its headers were read.
+    caller : str
+        IP number from which it came.
     """
 
     def __init__(
-        self, line: RequestStartLine, headers: HTTPHeaders, arrived: float
+        self,
+        line: RequestStartLine,
+        headers: HTTPHeaders,
+        arrived: float,
+        caller: str = "",
     ) -> None:
         self.method = line.method
         self.target = line.path
         self.headers = headers
         self.body = b""
         self.arrived = arrived
+        self.caller = caller
 
 
 class CallerSink:
@@ -153,7 +161,8 @@
 
     def headers_received(self, start_line: Any, headers: HTTPHeaders) -> None:
         now = asyncio.get_running_loop().time()
-        self._incoming = Incoming(start_line, headers, now)
+        caller = getattr(self._connection.context, "remote_ip", "")
+        self._incoming = Incoming(start_line, headers, now, caller)
         self._server.note_reading(self)
 
     def data_received(self, chunk: bytes) -> None:
@@ -185,6 +194,12 @@
             self._server.note_done(self)
 
 
+@dataclass(frozen=True)
+class _Listener:
+    socket: socket.socket
+    stop: Callable[[], None]
+
+
 class FrontServer(HTTPServerConnectionDelegate):
     """Serves callers on one listener.
 
@@ -196,6 +211,11 @@
         Largest headers and body.
     idle_seconds : float
         Time after which a connection without a request is closed.
+
+    Attributes
+    ----------
+    accepted : int
+        Connections that callers have opened.
     """
 
     def __init__(
@@ -203,7 +223,10 @@
     ) -> None:
         self.serve = serve
         self.moving: Callable[[], float] = lambda: 0.0
+        self.accepted = 0
+        self.accepted = 0
         self._running: set[_Reader] = set()
+        self._listeners: list[_Listener] = []
         self._ports: list[int] = []
         self._http = HTTPServer(
             self,
@@ -226,7 +249,9 @@
         """Listen on an address."""
         sockets = bind_sockets(port, host, backlog=BACKLOG)
         self._ports += [sock.getsockname()[1] for sock in sockets]
-        self._http.add_sockets(sockets)
+        for sock in sockets:
+            stop = add_accept_handler(sock, self._accept)
+            self._listeners.append(_Listener(sock, stop))
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
@@ -250,8 +275,15 @@
 
     def stop(self) -> None:
         """Take no new connections."""
-        self._http.stop()
+        for listener in self._listeners:
+            listener.stop()
+            listener.socket.close()
+        self._listeners.clear()
 
     async def close(self) -> None:
         """Close all connections."""
         await self._http.close_all_connections()
+
+    def _accept(self, connection: socket.socket, address: Any) -> None:
+        self.accepted += 1
+        self._http.handle_stream(IOStream(connection), address)
--- a/packages/fleet/src/teaselledge_fleet/process/metrics.py
+++ b/packages/fleet/src/teaselledge_fleet/process/metrics.py
@@ -52,6 +52,12 @@
         "histogram", "s", "Longest pause between the events of a stream.", ("service",)
     ),
     "running": Metric("gauge", "requests", "Requests that are read or answered."),
+    "busy": Metric(
+        "gauge", "part", "Part of its processor time that the router uses, 0 to 1."
+    ),
+    "caller_connections": Metric(
+        "counter", "connections", "Connections that callers opened."
+    ),
     "version": Metric("gauge", "version", "Configuration in force, 0 without one."),
     "store_age_seconds": Metric(
         "gauge", "s", "Age of what is known of the store, -1 if nothing is known."
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -268,6 +268,8 @@
         metrics = self._metrics
         age = self._belief.age
         metrics.set("running", self._front.running)
+        metrics.set("busy", self._busyness.busy)
+        metrics.set_total("caller_connections", self._front.accepted)
         metrics.set("version", self._belief.version)
         metrics.set("store_age_seconds", -1.0 if age is None else age)
         metrics.set("routers_answering", len(self._members.answering))
--- a/packages/fleet/src/teaselledge_fleet/request/serving.py
+++ b/packages/fleet/src/teaselledge_fleet/request/serving.py
@@ -97,7 +97,7 @@
         )
         admitted = self._admit(call, incoming)
         if admitted.is_error():
-            self._tell_refusal(call, admitted.error)
+            self._tell_refusal(call, incoming.caller, admitted.error)
             await self._refuse(call, sink, admitted.error)
             return
         journey = admitted.ok
@@ -132,13 +132,18 @@
             )
         )
 
-    def _tell_refusal(self, call: Call, fault: Fault) -> None:
+    def _tell_refusal(self, call: Call, caller: str, fault: Fault) -> None:
         kind = fault.kind.value
+        organisation = None
+        if self.routing is not None and call.key:
+            organisation = self.routing.holder_of(call.key)
         self._metrics.count("requests", outcome="refused", fault=kind, service="")
         _log.info(
             "request refused",
             id=call.id,
             fault=kind,
+            caller=caller,
+            organisation=organisation.name if organisation is not None else None,
             host=call.host,
             path=call.path,
             version=self.routing.version if self.routing is not None else 0,
