Failing tests: one router gets all requests of an organisation

The tests run three whole routers over loopback, one of which has no processor time: 0 of 30 requests to it are served; half is owed. And a request refused for want of processor time does not count as asked for, so that the others' shares look larger.

--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -192,14 +192,20 @@
         """Wait until nothing is left to be done."""
         await self._leaving.wait()
         await self._registration.withdraw()
+        await self.close()
+        _log.info("router stopped", running=self._front.running)
+
+    async def close(self) -> None:
+        """End at once, without a word to anybody."""
         for task in self._tasks:
             task.cancel()
         self._front.stop()
         await self._front.close()
+        for server in self._page_servers:
+            await server.close()
         self._pool.close()
         self._spreading.close()
         self._socket.close()
-        _log.info("router stopped", running=self._front.running)
 
     async def _tell_busy(self) -> None:
         while True:
--- /dev/null
+++ b/packages/standins/src/teaselledge_standins/fleetrouters.py
@@ -0,0 +1,97 @@
+"""Whole routers in one process, over loopback, with a store in memory."""
+
+from collections.abc import AsyncIterator, Iterable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+from teaselledge_fleet.connection.pages import Page
+from teaselledge_fleet.process.endpoints import Endpoint
+from teaselledge_fleet.process.router import FleetRouter
+from teaselledge_fleet.process.settings import FleetSettings, Listeners, Place
+from teaselledge_fleet.request.owndialect import OwnDialect
+from teaselledge_fleet.version.routes import Routing
+
+from teaselledge_standins.processes import free_ports
+from teaselledge_standins.statestore import StoreClient, store_of
+
+__all__ = ["RunningRouter", "UsedUp", "running_routers"]
+
+ZONE, REGION = "north-a", "north"
+
+
+class LocalPages:
+    """Answers with the addresses, a line each."""
+
+    addresses_path = "/addresses"
+
+    def place_asked(self, arguments: dict[str, str]) -> tuple[str, str]:
+        """Return the only zone."""
+        return ZONE, REGION
+
+    def addresses(self, addresses: list[str], seconds: float) -> Page:
+        """Return the page that names routers."""
+        return Page(200, "\n".join(addresses).encode())
+
+
+class UsedUp:
+    """Stands for the busyness of a router that has no processor time left."""
+
+    late = False
+    overloaded = True
+    busy = 1.0
+    crowded = 1.0
+
+
+@dataclass(frozen=True)
+class RunningRouter:
+    """A router and the port for its callers."""
+
+    router: FleetRouter
+    port: int
+
+    def use_up(self) -> None:
+        """Take all its processor time from it."""
+        self.router._busyness = UsedUp()  # type: ignore[assignment]
+
+
+def _settings(number: int, seeds: tuple[str, ...]) -> FleetSettings:
+    callers, ready, addresses = free_ports(3)
+    return FleetSettings(
+        Place(f"r{number}", "127.0.0.1", ZONE, REGION),
+        {ZONE: REGION},
+        Listeners(
+            callers=f"127.0.0.1:{callers}",
+            ready=f"127.0.0.1:{ready}",
+            peers=seeds[number],
+            addresses=f"127.0.0.1:{addresses}",
+        ),
+        seeds=seeds,
+    )
+
+
+@asynccontextmanager
+async def running_routers(
+    count: int, routing: Routing, endpoints: Iterable[Endpoint]
+) -> AsyncIterator[list[RunningRouter]]:
+    """Run so many routers of one zone."""
+    store = store_of(endpoints)
+    seeds = tuple(f"127.0.0.1:{port}" for port in free_ports(count))
+    running = []
+    for number in range(count):
+        settings = _settings(number, seeds)
+        router = FleetRouter(
+            settings,
+            StoreClient(store, settings.place.vm),
+            OwnDialect(),
+            LocalPages(),
+            lambda data: routing,
+        )
+        port = int(settings.listeners.callers.rpartition(":")[2])
+        running.append(RunningRouter(router, port))
+    for each in running:
+        await each.router.start()
+    try:
+        yield running
+    finally:
+        for each in running:
+            await each.router.close()
