Count what an organisation asks for before its requests are refused

What callers saw: an organisation whose requests were refused for want of processor time received a quarter of what another one did, which nothing held to its share.

Cause: demand was counted by the placer, after the router had decided whether it has time for the request. What a busy or leaving router refuses was never asked for, as far as the fleet knew, so the fair level was worked out without it. Class: a measure taken behind the filter that it should govern.

Change: the server tells the placer of each permitted request when it arrives. The order of refusals stays: a late router answers 503 before it says 404 or 401, as its configuration may be old.

Whether that alone would keep the rule was not measured. Why it holds: nothing that is permitted is answered before it is counted.

--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -27,9 +27,9 @@
 from teaselledge_fleet.process.shares import OrganisationShares
 from teaselledge_fleet.process.waiting import WaitBounds
 from teaselledge_fleet.process.work import FleetWork, Work, key_of
-from teaselledge_fleet.request.call import Prompt
+from teaselledge_fleet.request.call import Call, Prompt
 from teaselledge_fleet.request.journey import Journey, Outcome, Placement
-from teaselledge_fleet.version.routes import Routing
+from teaselledge_fleet.version.routes import Organisation, Routing
 
 __all__ = ["FleetPlacer"]
 
@@ -149,11 +149,15 @@
         """Have the fleet's directory of parts asked."""
         self._locator = locator
 
+    def note_asked(self, call: Call, organisation: Organisation | None) -> None:
+        """Count the work that a request asks for."""
+        if call.prompt is not None:
+            owner = organisation.name if organisation is not None else ""
+            self._shares.ask(owner, _weight(call.prompt))
+
     async def place(self, journey: Journey) -> Result[Placement, Fault]:
         """Return the endpoint for the next attempt."""
         prompt = journey.call.prompt
-        if prompt is not None and not journey.tried:
-            self._shares.ask(journey.owner, _weight(prompt))
         endpoints = self._usable(journey)
         if not endpoints:
             return Error(Fault(FaultKind.NO_ENDPOINT, 0.5))
--- a/packages/fleet/src/teaselledge_fleet/request/journey.py
+++ b/packages/fleet/src/teaselledge_fleet/request/journey.py
@@ -116,6 +116,9 @@
 class Placer(Protocol):
     """Decides where and when a request runs."""
 
+    def note_asked(self, call: Call, organisation: Organisation | None) -> None:
+        """Count a request that an organisation may make, also one that is refused."""
+
     async def place(self, journey: Journey) -> Result[Placement, Fault]:
         """Return the endpoint for the next attempt, or why there is none."""
 
--- a/packages/fleet/src/teaselledge_fleet/request/serving.py
+++ b/packages/fleet/src/teaselledge_fleet/request/serving.py
@@ -107,11 +107,15 @@
         routing = self.routing
         if routing is None:
             return Error(Fault(FaultKind.NOT_CONFIGURED, STARTING_RETRY_SECONDS))
+        permitted = permit(routing, call)
+        if permitted.is_ok():
+            # before anything is refused: whoever is refused most would otherwise look
+            # as if it asked for least, and its share would go to the others
+            self._placer.note_asked(call, permitted.ok[1])
         if self.leaving:
             return Error(Fault(FaultKind.LEAVING, LEAVING_RETRY_SECONDS))
         if self.late():
             return Error(Fault(FaultKind.ROUTER_BUSY, BUSY_RETRY_SECONDS))
-        permitted = permit(routing, call)
         if permitted.is_error():
             return Error(permitted.error)
         route, organisation = permitted.ok
--- a/packages/standins/src/teaselledge_standins/routes.py
+++ b/packages/standins/src/teaselledge_standins/routes.py
@@ -11,6 +11,7 @@
 from teaselledge_fleet.faults import Fault, FaultKind
 from teaselledge_fleet.process.budget import RepeatBudget
 from teaselledge_fleet.process.endpoints import Endpoint
+from teaselledge_fleet.request.call import Call
 from teaselledge_fleet.request.journey import Journey, Outcome, Placement
 from teaselledge_fleet.request.owndialect import OwnDialect
 from teaselledge_fleet.request.serving import Server
@@ -74,6 +75,9 @@
     outcomes: list[Outcome] = field(default_factory=list)
     leaving: set[str] = field(default_factory=set)
 
+    def note_asked(self, call: Call, organisation: Organisation | None) -> None:
+        """Do nothing."""
+
     async def place(self, journey: Journey) -> Result[Placement, Fault]:
         """Return the first endpoint that was not tried."""
         for endpoint in self.endpoints:
