--- a/packages/ctl/tests/test_explain.py
+++ b/packages/ctl/tests/test_explain.py
@@ -47,7 +47,7 @@
 async def test_a_refused_request_tells_why(logs):
     async with serving(make_route(Repeat.NEVER)) as served:
 
-        async def full(journey):
+        async def full(context):
             return Error(Fault(FaultKind.OVER_CAPACITY, 0.5))
 
         served.placer.place = full
--- a/packages/fleet/src/teaselledge_fleet/process/asking.py
+++ b/packages/fleet/src/teaselledge_fleet/process/asking.py
@@ -16,8 +16,8 @@
 from teaselledge_fleet.connection.figures import pack_work, unpack_work
 from teaselledge_fleet.connection.replies import PendingReplies
 from teaselledge_fleet.process.admission import Admission, Answer, Question
+from teaselledge_fleet.process.coordinators import Coordinators
 from teaselledge_fleet.process.endpoints import Endpoint, EndpointView
-from teaselledge_fleet.process.keepers import Keepers
 from teaselledge_fleet.process.members import Members
 from teaselledge_fleet.process.work import FleetWork, Work, key_of
 
@@ -62,7 +62,7 @@
         Decides for the endpoints for which others ask this router.
     socket : Socket
         The way to other routers.
-    keepers : Keepers
+    coordinators : Coordinators
         Who admits to which endpoint.
 
     Attributes
@@ -78,14 +78,14 @@
         work: FleetWork,
         admission: Admission,
         socket: Socket,
-        keepers: Keepers,
+        coordinators: Coordinators,
     ) -> None:
         self._members = members
         self._view = view
         self._work = work
         self._admission = admission
         self._socket = socket
-        self._keepers = keepers
+        self._coordinators = coordinators
         self._number = secrets.randbits(SENDER_BITS)
         self._sequence = 0
         self._replies: PendingReplies[Answer] = PendingReplies()
@@ -116,18 +116,18 @@
         Answer or None
             None where nobody answered in time.
         """
-        keeper = self._keepers.of(endpoint)
-        if keeper is None:
+        coordinator = self._coordinators.of(endpoint)
+        if coordinator is None:
             return None
         question = self._question(endpoint, added, most_wait)
-        if keeper.vm == self._members.own.vm:
+        if coordinator.vm == self._members.own.vm:
             return self._noted(endpoint, added, self._admission.ask(question))
         self.asked += 1
-        self._socket.send(keeper.peers, _to_wire(question))
+        self._socket.send(coordinator.peers, _to_wire(question))
         answer = None
         try:
-            answer = await self._keepers.answer_of(
-                keeper, self._replies, question.sequence
+            answer = await self._coordinators.answer_of(
+                coordinator, self._replies, question.sequence
             )
         finally:
             if answer is None:
@@ -170,12 +170,12 @@
             endpoint = self._view.get(name)
             if endpoint is None:
                 continue
-            keeper = self._keepers.of(endpoint)
-            if keeper is None:
+            coordinator = self._coordinators.of(endpoint)
+            if coordinator is None:
                 continue
-            addresses[keeper.vm] = keeper.peers
+            addresses[coordinator.vm] = coordinator.peers
             self._known[name] = self._work.own(name)
-            reports[keeper.vm][key_of(name)] = self._work.own(name)
+            reports[coordinator.vm][key_of(name)] = self._work.own(name)
         for vm, work in reports.items():
             self._sequence += 1
             if vm == self._members.own.vm:
@@ -196,7 +196,7 @@
     def _forget(self) -> None:
         """Forget endpoints that are gone."""
         names = {endpoint.id for endpoint in self._view.endpoints}
-        self._keepers.keep(names)
+        self._coordinators.keep(names)
         self._known = {n: w for n, w in self._known.items() if n in names}
 
     def _question(self, endpoint: Endpoint, added: float, most_wait: float) -> Question:
--- a/packages/fleet/src/teaselledge_fleet/process/choosing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/choosing.py
@@ -12,7 +12,7 @@
 from teaselledge_fleet.process.results import Results
 from teaselledge_fleet.process.work import FleetWork, key_of
 from teaselledge_fleet.request.call import Prompt
-from teaselledge_fleet.request.journey import Journey
+from teaselledge_fleet.request.context import RequestContext
 
 __all__ = ["Candidate", "Demand", "EndpointChooser", "output_tokens"]
 
@@ -115,9 +115,11 @@
     holders: tuple[int, ...] = ()
 
     @classmethod
-    def from_journey(cls, journey: Journey, endpoints: Sequence[Endpoint]) -> "Demand":
+    def from_context(
+        cls, context: RequestContext, endpoints: Sequence[Endpoint]
+    ) -> "Demand":
         """Return the demand of a request with a prompt; its holders are not known."""
-        prompt = journey.call.prompt
+        prompt = context.call.prompt
         assert prompt is not None
         part = shared_part(prompt)
         shared = shared_tokens(prompt)
@@ -126,8 +128,8 @@
             part,
             shared,
             prompt.tokens - shared,
-            (len(journey.body) + answer) / BYTES_PER_KILOBYTE,
-            ranked(part or journey.call.id, endpoints)[:MOST_CANDIDATES],
+            (len(context.body) + answer) / BYTES_PER_KILOBYTE,
+            ranked(part or context.call.id, endpoints)[:MOST_CANDIDATES],
         )
 
     def source(self, endpoint: Endpoint) -> Endpoint | None:
@@ -163,24 +165,26 @@
         self.plain = PlainForecast()
         self.reading = ReadingModel()
 
-    def best_plain(self, journey: Journey, endpoints: Sequence[Endpoint]) -> Candidate:
+    def best_plain(
+        self, context: RequestContext, endpoints: Sequence[Endpoint]
+    ) -> Candidate:
         """Return the best endpoint of a plain service."""
-        kilobytes = len(journey.body) / BYTES_PER_KILOBYTE
+        kilobytes = len(context.body) / BYTES_PER_KILOBYTE
         candidates = []
         for endpoint in endpoints:
             work = self._work.total(endpoint.id)
             wait = self.plain.seconds(endpoint.id, work, endpoint.slots)
-            cost = self._detour(endpoint, journey, kilobytes, wait)
+            cost = self._detour(endpoint, context, kilobytes, wait)
             candidates.append(Candidate(endpoint, 0.0, wait, cost + _tie_break()))
         return min(candidates, key=lambda candidate: candidate.cost)
 
-    def engines(self, journey: Journey, demand: Demand) -> list[Candidate]:
+    def engines(self, context: RequestContext, demand: Demand) -> list[Candidate]:
         """Return the engines for a prompt, the best first."""
-        candidates = [self._engine(each, journey, demand) for each in demand.engines]
+        candidates = [self._engine(each, context, demand) for each in demand.engines]
         return sorted(candidates, key=lambda candidate: candidate.cost)
 
     def _engine(
-        self, endpoint: Endpoint, journey: Journey, demand: Demand
+        self, endpoint: Endpoint, context: RequestContext, demand: Demand
     ) -> Candidate:
         holds = key_of(endpoint.id) in demand.holders
         first = endpoint is demand.engines[0]
@@ -189,7 +193,7 @@
         reading = self.reading.seconds(endpoint.service, tokens, unread)
         work = self._work.total(endpoint.id)
         wait = engine_wait(work, endpoint.slots)
-        cost = self._detour(endpoint, journey, demand.kilobytes, wait)
+        cost = self._detour(endpoint, context, demand.kilobytes, wait)
         cost += FULLNESS_SECONDS * (work.running / endpoint.slots) ** 2
         if demand.part is not None and not (holds or (first and not demand.holders)):
             # where nobody keeps the part, its first choice should be the one to read it
@@ -200,12 +204,12 @@
         return Candidate(endpoint, reading, wait, cost, address, holds)
 
     def _detour(
-        self, endpoint: Endpoint, journey: Journey, kilobytes: float, wait: float
+        self, endpoint: Endpoint, context: RequestContext, kilobytes: float, wait: float
     ) -> float:
         """Return what delay, failures and bytes on the way cost, in seconds."""
         failing = self._results.failing(endpoint.id) * FAILING_SECONDS
         delay = wait + self._distance.seconds(endpoint.zone)
-        overrun = max(0.0, delay - EASY_PART * journey.route.objective)
+        overrun = max(0.0, delay - EASY_PART * context.route.objective)
         paid = self._distance.paid(endpoint.zone, kilobytes)
         return failing + paid + DELAY_WEIGHT * delay + OVERRUN_WEIGHT * overrun
 
--- a/packages/fleet/src/teaselledge_fleet/process/keepers.py
+++ b/packages/fleet/src/teaselledge_fleet/process/coordinators.py
@@ -13,7 +13,7 @@
 from teaselledge_fleet.process.members import Member, Members, MemberState
 from teaselledge_fleet.process.topology import rank
 
-__all__ = ["Keepers"]
+__all__ = ["Coordinators"]
 
 _log = get_log("admission")
 
@@ -64,7 +64,7 @@
     member: Member
 
 
-class Keepers:
+class Coordinators:
     """Finds the router that admits to an endpoint, the same one on every router.
 
     It is the first by a hash of some in the endpoint's zone. Nobody is appointed: a
--- a/packages/fleet/src/teaselledge_fleet/process/locating.py
+++ b/packages/fleet/src/teaselledge_fleet/process/locating.py
@@ -4,9 +4,9 @@
 
 from teaselledge_fleet.connection.replies import PendingReplies
 from teaselledge_fleet.process.asking import Socket
+from teaselledge_fleet.process.coordinators import Coordinators
 from teaselledge_fleet.process.directory import PartDirectory
 from teaselledge_fleet.process.endpoints import Endpoint
-from teaselledge_fleet.process.keepers import Keepers
 from teaselledge_fleet.process.members import Members
 from teaselledge_fleet.process.work import key_of
 
@@ -30,14 +30,16 @@
         The routers.
     socket : Socket
         The way to other routers.
-    keepers : Keepers
+    coordinators : Coordinators
         Who admits to which endpoint.
     """
 
-    def __init__(self, members: Members, socket: Socket, keepers: Keepers) -> None:
+    def __init__(
+        self, members: Members, socket: Socket, coordinators: Coordinators
+    ) -> None:
         self._members = members
         self._socket = socket
-        self._keepers = keepers
+        self._coordinators = coordinators
         self._directory = PartDirectory()
         self._replies: PendingReplies[list[int]] = PendingReplies()
         self._sequence = 0
@@ -60,25 +62,29 @@
         list of int or None
             None where nobody answers in time.
         """
-        keeper = self._keepers.of(first_choice)
-        if keeper is None:
+        coordinator = self._coordinators.of(first_choice)
+        if coordinator is None:
             return None
-        if keeper.vm == self._members.own.vm:
+        if coordinator.vm == self._members.own.vm:
             return self._directory.claim(key_of(part), key_of(first_choice.id))
         self._sequence += 1
         request = PartRequest(self._sequence, key_of(part), key_of(first_choice.id))
-        self._socket.send(keeper.peers, request)
-        return await self._keepers.answer_of(keeper, self._replies, self._sequence)
+        self._socket.send(coordinator.peers, request)
+        return await self._coordinators.answer_of(
+            coordinator, self._replies, self._sequence
+        )
 
     def tell(self, part: str, first_choice: Endpoint, endpoint: Endpoint) -> None:
         """Tell the directory that an endpoint was given a prompt with the part."""
-        keeper = self._keepers.of(first_choice)
-        if keeper is None:
+        coordinator = self._coordinators.of(first_choice)
+        if coordinator is None:
             return
-        if keeper.vm == self._members.own.vm:
+        if coordinator.vm == self._members.own.vm:
             self._directory.note(key_of(part), key_of(endpoint.id))
             return
-        self._socket.send(keeper.peers, PartNote(key_of(part), key_of(endpoint.id)))
+        self._socket.send(
+            coordinator.peers, PartNote(key_of(part), key_of(endpoint.id))
+        )
 
     def _take_request(self, request: PartRequest, sender: str) -> None:
         holders = self._directory.claim(request.part or 0, request.endpoint or 0)
--- a/packages/fleet/src/teaselledge_fleet/process/members.py
+++ b/packages/fleet/src/teaselledge_fleet/process/members.py
@@ -145,7 +145,7 @@
 
 @dataclass(frozen=True)
 class Status:
-    """What the router that speaks for a zone tells of another one of it.
+    """What the aggregator of a zone tells of another router of it.
 
     Attributes
     ----------
@@ -186,7 +186,7 @@
     direct: float = -math.inf
     """Loop time at which this router last heard it."""
     relayed: float = -math.inf
-    """The same of the router that speaks for this zone."""
+    """The same of the aggregator of this zone."""
     reported: float = -math.inf
     """The same of any other router."""
 
@@ -305,7 +305,7 @@
         return known is None or known.member != member
 
     def take_statuses(self, told: Mapping[int, Status]) -> None:
-        """Take what the router that speaks for this zone tells, by their numbers."""
+        """Take what the aggregator of this zone tells, by the routers' numbers."""
         now = self._now()
         for known in self._known.values():
             status = told.get(key_of(known.member.vm))
--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -28,7 +28,7 @@
 from teaselledge_fleet.process.waiting import WaitBounds
 from teaselledge_fleet.process.work import FleetWork, Work, key_of
 from teaselledge_fleet.request.call import Call, Prompt
-from teaselledge_fleet.request.journey import Journey, Outcome, Placement
+from teaselledge_fleet.request.context import Outcome, Placement, RequestContext
 from teaselledge_fleet.version.routes import Organisation, Routing
 
 __all__ = ["FleetPlacer"]
@@ -157,26 +157,28 @@
             owner = organisation.name if organisation is not None else ""
             self._shares.ask(owner, times * _weight(call.prompt))
 
-    async def place(self, journey: Journey) -> Result[Placement, Fault]:
+    async def place(self, context: RequestContext) -> Result[Placement, Fault]:
         """Return the endpoint for the next attempt."""
-        prompt = journey.call.prompt
-        endpoints = self._usable(journey)
+        prompt = context.call.prompt
+        endpoints = self._usable(context)
         if not endpoints:
             return Error(Fault(FaultKind.NO_ENDPOINT, 0.5))
         if prompt is None:
-            best = self._chooser.best_plain(journey, endpoints)
-            self._begin(journey, best)
-            return Ok(self._placement(journey, best))
-        demand = await self._demand(journey, endpoints)
-        if journey.sends:
-            best = self._chooser.engines(journey, demand)[0]
-            self._begin(journey, best)
-            return Ok(self._placement_of_prompt(journey, best, demand))
-        return await self._place_prompt(journey, demand)
-
-    async def _demand(self, journey: Journey, endpoints: list[Endpoint]) -> Demand:
+            best = self._chooser.best_plain(context, endpoints)
+            self._begin(context, best)
+            return Ok(self._placement(context, best))
+        demand = await self._demand(context, endpoints)
+        if context.sends:
+            best = self._chooser.engines(context, demand)[0]
+            self._begin(context, best)
+            return Ok(self._placement_of_prompt(context, best, demand))
+        return await self._place_prompt(context, demand)
+
+    async def _demand(
+        self, context: RequestContext, endpoints: list[Endpoint]
+    ) -> Demand:
         """Find out which engines keep the prompt's shared part."""
-        demand = Demand.from_journey(journey, endpoints)
+        demand = Demand.from_context(context, endpoints)
         if demand.part is None:
             return demand
         first = demand.engines[0]
@@ -189,7 +191,7 @@
         return replace(demand, holders=tuple(holders))
 
     async def _place_prompt(
-        self, journey: Journey, demand: Demand
+        self, context: RequestContext, demand: Demand
     ) -> Result[Placement, Fault]:
         """Ask for the best engine, and then for the next best ones with room.
 
@@ -197,19 +199,19 @@
         weighed with a copy of it. It must not be the only one that is asked: callers
         would be refused while engines beside it have nothing to do.
         """
-        over = self._shares.over(journey.owner, SHARE_MARGIN)
-        bound = self._bounds.most_wait(journey.route, journey.service, over)
+        over = self._shares.over(context.owner, SHARE_MARGIN)
+        bound = self._bounds.most_wait(context.route, context.service, over)
         asked: set[str] = set()
-        best = self._chooser.engines(journey, demand)[0]
+        best = self._chooser.engines(context, demand)[0]
         while len(asked) < MOST_ASKED:
             asked.add(best.endpoint.id)
-            left = journey.arrived + bound - self._now()
-            admitted = await self._admit(journey, best, left)
+            left = context.arrived + bound - self._now()
+            admitted = await self._admit(context, best, left)
             if admitted is not None:
-                return Ok(self._placement_of_prompt(journey, admitted, demand))
+                return Ok(self._placement_of_prompt(context, admitted, demand))
             roomy = [
                 candidate
-                for candidate in self._chooser.engines(journey, demand)
+                for candidate in self._chooser.engines(context, demand)
                 if candidate.endpoint.id not in asked and candidate.wait <= left
             ]
             if not roomy:
@@ -218,30 +220,30 @@
         kind = FaultKind.OVER_SHARE if over else FaultKind.OVER_CAPACITY
         _log.info(
             "request not placed",
-            id=journey.call.id,
+            id=context.call.id,
             fault=kind.value,
             endpoint=best.endpoint.id,
             asked=len(asked),
             **self._reasons(best),
         )
-        return Error(Fault(kind, self._retry_after(journey, over)))
+        return Error(Fault(kind, self._retry_after(context, over)))
 
-    def _retry_after(self, journey: Journey, over: bool) -> float:
+    def _retry_after(self, context: RequestContext, over: bool) -> float:
         """Return when a refused caller should come back, in seconds."""
         latest = RETRY_LATEST
         if over:
-            latest = max(latest, self._shares.seconds_over(journey.owner))
+            latest = max(latest, self._shares.seconds_over(context.owner))
         return random.uniform(RETRY_SOONEST, latest)
 
     async def _admit(
-        self, journey: Journey, best: Candidate, most: float
+        self, context: RequestContext, best: Candidate, most: float
     ) -> Candidate | None:
         """Count a request at an endpoint if the router that admits there agrees.
 
         Returns the candidate with the wait as that router sees it.
         """
         name = best.endpoint.id
-        self._begin(journey, best)
+        self._begin(context, best)
         admitted = None
         try:
             answer = await self._ask(best.endpoint, best.reading, most)
@@ -255,42 +257,42 @@
                 wait = engine_wait(before, best.endpoint.slots)
                 admitted = replace(best, wait=wait)
                 sent = _Sent(best.reading, self._now(), wait)
-                self._sent[journey.call.id, name] = sent
+                self._sent[context.call.id, name] = sent
             return admitted
         finally:
             # also where the caller leaves while the answer is awaited
             if admitted is None:
-                self._count_out(journey, best.endpoint)
+                self._count_out(context, best.endpoint)
 
-    def _placement(self, journey: Journey, best: Candidate) -> Placement:
+    def _placement(self, context: RequestContext, best: Candidate) -> Placement:
         return Placement(best.endpoint, best.fetch_from, self._reasons(best))
 
     def _placement_of_prompt(
-        self, journey: Journey, best: Candidate, demand: Demand
+        self, context: RequestContext, best: Candidate, demand: Demand
     ) -> Placement:
-        prompt = journey.call.prompt
+        prompt = context.call.prompt
         assert prompt is not None
-        journey.reading = best.reading
+        context.reading = best.reading
         if demand.part is not None:
             self._parts.note(key_of(demand.part), key_of(best.endpoint.id))
             if demand.shared >= LOCATED_TOKENS:
                 self._locator.tell(demand.part, demand.engines[0], best.endpoint)
-        if not journey.sends:
-            self._shares.receive(journey.owner, _weight(prompt))
-        return self._placement(journey, best)
+        if not context.sends:
+            self._shares.receive(context.owner, _weight(prompt))
+        return self._placement(context, best)
 
     def takes_work(self, endpoint: Endpoint) -> bool:
         """Whether an endpoint is there still and not leaving."""
         known = self._view.get(endpoint.id)
         return known is not None and not known.leaving
 
-    def began(self, journey: Journey, endpoint: Endpoint) -> None:
+    def began(self, context: RequestContext, endpoint: Endpoint) -> None:
         """Note the first part of an answer."""
-        key = (journey.call.id, endpoint.id)
+        key = (context.call.id, endpoint.id)
         sent = self._sent.get(key)
         if sent is None:
             return
-        if journey.call.prompt is None:
+        if context.call.prompt is None:
             self._chooser.plain.observe(endpoint.id, self._now() - sent.at)
         else:
             taken = self._now() - sent.at - self._distance.seconds(endpoint.zone)
@@ -299,9 +301,11 @@
         self._work.add(endpoint.id, 0, -sent.reading)
         self._sent[key] = replace(sent, reading=0.0)
 
-    def ended(self, journey: Journey, endpoint: Endpoint, outcome: Outcome) -> None:
+    def ended(
+        self, context: RequestContext, endpoint: Endpoint, outcome: Outcome
+    ) -> None:
         """Note the end of an attempt."""
-        self._count_out(journey, endpoint)
+        self._count_out(context, endpoint)
         if outcome is Outcome.UNSENT:
             self._results.note_unreached(endpoint.id)
         elif outcome is Outcome.WHOLE:
@@ -325,11 +329,11 @@
         self._work.keep(names)
         self._results.keep(names)
 
-    def _usable(self, journey: Journey) -> list[Endpoint]:
+    def _usable(self, context: RequestContext) -> list[Endpoint]:
         fresh = [
             endpoint
-            for endpoint in self._view.of_service(journey.service)
-            if endpoint.id not in journey.tried
+            for endpoint in self._view.of_service(context.service)
+            if endpoint.id not in context.tried
         ]
         reached = [e for e in fresh if not self._results.avoided(e.id)]
         return reached or fresh
@@ -348,13 +352,13 @@
             ),
         }
 
-    def _begin(self, journey: Journey, best: Candidate) -> None:
+    def _begin(self, context: RequestContext, best: Candidate) -> None:
         self._work.add(best.endpoint.id, 1, best.reading)
         sent = _Sent(best.reading, self._now(), best.wait)
-        self._sent[journey.call.id, best.endpoint.id] = sent
+        self._sent[context.call.id, best.endpoint.id] = sent
 
-    def _count_out(self, journey: Journey, endpoint: Endpoint) -> None:
-        sent = self._sent.pop((journey.call.id, endpoint.id), None)
+    def _count_out(self, context: RequestContext, endpoint: Endpoint) -> None:
+        sent = self._sent.pop((context.call.id, endpoint.id), None)
         if sent is not None:
             self._work.add(endpoint.id, -1, -sent.reading)
 
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -18,8 +18,8 @@
 from teaselledge_fleet.process.budget import RepeatBudget, RepeatLimits
 from teaselledge_fleet.process.busyness import TICK_SECONDS, Busyness
 from teaselledge_fleet.process.connectionlimit import ConnectionLimit
+from teaselledge_fleet.process.coordinators import Coordinators
 from teaselledge_fleet.process.following import StoreFollower
-from teaselledge_fleet.process.keepers import Keepers
 from teaselledge_fleet.process.leaving import Leaving
 from teaselledge_fleet.process.locating import PartLocator
 from teaselledge_fleet.process.members import Member, Members, MemberState
@@ -135,7 +135,7 @@
         self._registration = Registration(store, self._members)
         self._socket = PeerSocket()
         admission = Admission()
-        keepers = Keepers(self._members)
+        coordinators = Coordinators(self._members)
         self._placer.work.kept = admission.total
         self._asking = Asking(
             self._members,
@@ -143,10 +143,10 @@
             self._placer.work,
             admission,
             self._socket,
-            keepers,
+            coordinators,
         )
         self._placer.ask_with(self._asking.ask)
-        self._placer.locate_with(PartLocator(self._members, self._socket, keepers))
+        self._placer.locate_with(PartLocator(self._members, self._socket, coordinators))
         self._spreading = Spreading(
             self._members,
             self._belief,
@@ -155,7 +155,7 @@
             admission,
             self._placer.shares,
             self._socket,
-            keepers,
+            coordinators,
         )
         self._spreading.on_members = self._note_members
         self._leaving = Leaving(settings.grace_seconds, self._front, self._server)
--- a/packages/fleet/src/teaselledge_fleet/process/spreading.py
+++ b/packages/fleet/src/teaselledge_fleet/process/spreading.py
@@ -29,8 +29,8 @@
 from teaselledge_fleet.process.advertised import AdvertisedLog
 from teaselledge_fleet.process.asking import Socket
 from teaselledge_fleet.process.belief import Belief
+from teaselledge_fleet.process.coordinators import Coordinators
 from teaselledge_fleet.process.endpoints import Endpoint, Entry
-from teaselledge_fleet.process.keepers import Keepers
 from teaselledge_fleet.process.members import Member, Members, Report
 from teaselledge_fleet.process.shares import OrganisationShares, Use
 from teaselledge_fleet.process.topology import Scope, Topology
@@ -54,13 +54,13 @@
 REPEATED = 3
 """Pulses in which a change is told, against losses."""
 
-RUMOURS = 2
+REPORTS = 2
 """Other routers named in some pulses."""
 
 INTRODUCED = 8
 """Routers of its zone that a newcomer is told of."""
 
-RUMOUR_EVERY = 4
+REPORT_EVERY = 4
 """Pulses of which one names other routers; each name takes 90 bytes."""
 
 CALM_PULSE_SECONDS = 0.4
@@ -89,7 +89,7 @@
 class _Known:
     """What a router tells in all pulses of one moment.
 
-    A speaker sends each router of its zone another sum, and would look all this up
+    An aggregator sends each router of its zone another sum, and would look all this up
     for each of them.
 
     Attributes
@@ -119,14 +119,14 @@
         admission: Admission,
         shares: OrganisationShares,
         socket: Socket,
-        keepers: Keepers,
+        coordinators: Coordinators,
     ) -> None:
         self._members = members
         self._belief = belief
         self._seeds = tuple(seeds)
         self._work = work
         self._admission = admission
-        self._keepers = keepers
+        self._coordinators = coordinators
         self._shares = shares
         self._advertised_log = AdvertisedLog(members)
         self._topology = Topology(members)
@@ -268,7 +268,7 @@
         pulse = copy.copy(common)
         pulse.work = pack_work(work)
         pulse.uses = pack_uses(uses)
-        pulse.others = self._reports(self._rumours(scope))
+        pulse.others = self._reports(self._to_report(scope))
         return pulse
 
     def _admitting(self, scope: Scope) -> list[Member]:
@@ -277,12 +277,12 @@
             return []
         own = self._members.own.zone
         if scope is Scope.ZONE:
-            return self._keepers.of_zone(own)
+            return self._coordinators.of_zone(own)
         zones = sorted({m.zone for m in self._members.others} - {own})
         if not zones:
             return []
         turn = self._sequence // ADMITTING_EVERY
-        return self._keepers.of_zone(zones[turn % len(zones)])
+        return self._coordinators.of_zone(zones[turn % len(zones)])
 
     def _figures(
         self, scope: Scope, receivers: list[Member], known: _Known
@@ -304,16 +304,16 @@
     def _reports(self, members: Iterable[Member]) -> list[RouterInfo]:
         return [self._members.report(member).to_wire() for member in members]
 
-    def _rumours(self, scope: Scope) -> list[Member]:
+    def _to_report(self, scope: Scope) -> list[Member]:
         """Return some routers that the receivers may not hear themselves."""
-        if self._sequence % RUMOUR_EVERY:
+        if self._sequence % REPORT_EVERY:
             return []
         members = self._members
         known = members.answering
         if scope is Scope.OTHERS:
             # the zone's own routers are told with their ages already
             known = [m for m in members.ready if m.zone != members.own.zone]
-        return random.sample(known, min(RUMOURS, len(known)))
+        return random.sample(known, min(REPORTS, len(known)))
 
     def _hear(self, pulse: Pulse, address: str) -> None:
         sender = Member.from_wire(pulse.sender)
@@ -333,7 +333,7 @@
         for info in pulse.others or ():
             if self._members.learn(Report.from_wire(info)):
                 self.on_members()
-        self._keepers.hear([Member.from_wire(m) for m in pulse.admitting or ()])
+        self._coordinators.hear([Member.from_wire(m) for m in pulse.admitting or ()])
         belief = self._belief
         known_at = belief.as_of
         if pulse.changes:
@@ -363,25 +363,25 @@
     def _hear_figures(self, sender: Member, pulse: Pulse) -> None:
         scope = pulse.scope or Scope.OWN
         near = sender.zone == self._members.own.zone
-        speaks = self._topology.speaks
+        aggregates = self._topology.aggregates
         source = sender.vm
         if scope == Scope.ZONE:
-            if near or not speaks:
+            if near or not aggregates:
                 return
             self._heard_zones.add(sender.zone)
             source = _zone_source(sender.zone)
             # what it heard of all others before it spoke must not count twice
             self._forget(OTHERS_SOURCE)
         elif scope == Scope.OTHERS:
-            if speaks or not near:
+            if aggregates or not near:
                 return
             source = OTHERS_SOURCE
             self._work.keep_source(source)
             self._shares.keep_source(source)
             alive = unpack_alive(pulse.alive or b"", pulse.alive_ages or b"")
             self._members.take_statuses(alive)
-        elif not self._topology.flat and not (near and speaks):
-            # the speaker tells of its work; it must not count twice
+        elif not self._topology.flat and not (near and aggregates):
+            # the aggregator tells of its work; it must not count twice
             return
         self._work.hear(source, unpack_work(pulse.work or b""))
         self._shares.hear(source, unpack_uses(pulse.uses or b""))
--- a/packages/fleet/src/teaselledge_fleet/process/topology.py
+++ b/packages/fleet/src/teaselledge_fleet/process/topology.py
@@ -15,15 +15,15 @@
 """Routers up to which each tells every other.
 
 That is the quickest, and costs each of 12 routers 11 datagrams of 300 bytes four
-times a second, 13 KB/s. In a larger fleet routers tell the speaker of their zone, which
-tells the other zones what its own does, and its own what all others do.
+times a second, 13 KB/s. In a larger fleet routers tell the aggregator of their zone,
+which tells the other zones what its own does, and its own what all others do.
 """
 
 GOSSIP = 2
-"""Routers of its zone that a router tells besides the speaker. News goes round among
-them when the speaker has died."""
+"""Routers of its zone that a router tells besides the aggregator. News goes round among
+them when the aggregator has died."""
 
-SPOKEN_TO = 2
+AGGREGATORS_TOLD = 2
 """Routers of another zone that are told, in case one of them has just died."""
 
 
@@ -37,7 +37,7 @@
     """That of all routers of the sender's zone."""
 
     OTHERS = 2
-    """That of all routers but the receiver; a speaker tells it to its zone."""
+    """That of all routers but the receiver; an aggregator tells it to its zone."""
 
 
 @dataclass(frozen=True)
@@ -59,9 +59,9 @@
 class Topology:
     """Finds the audiences from what is known of the other routers.
 
-    The speaker of a zone is the first of its routers by a hash, of those that answer.
-    Nobody is elected: each router finds the same one by itself, and two speakers for
-    a moment cost some datagrams.
+    The aggregator of a zone is the first of its routers by a hash, of those that
+    answer. Nobody is elected: each router finds the same one by itself, and two
+    aggregators for a moment cost some datagrams.
     """
 
     def __init__(self, members: Members) -> None:
@@ -73,16 +73,16 @@
         return len(self._members.others) < ALL_KNOW_ALL
 
     @property
-    def speaker(self) -> Member:
-        """The router that speaks for this zone, as far as this one can tell."""
+    def aggregator(self) -> Member:
+        """The aggregator of this zone, as far as this router can tell."""
         own = self._members.own
         mates = [m for m in self._members.answering if m.zone == own.zone]
         return min([*mates, own], key=rank)
 
     @property
-    def speaks(self) -> bool:
-        """Whether this router speaks for its zone."""
-        return self.speaker is self._members.own
+    def aggregates(self) -> bool:
+        """Whether this router is the aggregator of its zone."""
+        return self.aggregator is self._members.own
 
     def audiences(self) -> list[Audience]:
         """Return who is to be told what."""
@@ -90,17 +90,17 @@
         if self.flat:
             return [Audience(Scope.OWN, others)]
         mates = [m for m in others if m.zone == self._members.own.zone]
-        speaker = self.speaker
-        if speaker is not self._members.own:
-            rest = [m for m in mates if m.vm != speaker.vm]
+        aggregator = self.aggregator
+        if aggregator is not self._members.own:
+            rest = [m for m in mates if m.vm != aggregator.vm]
             chosen = random.sample(rest, min(GOSSIP, len(rest)))
-            return [Audience(Scope.OWN, [speaker, *chosen])]
+            return [Audience(Scope.OWN, [aggregator, *chosen])]
         # each mate gets the sum of all but itself
         result = [Audience(Scope.OTHERS, [mate]) for mate in mates]
-        result.append(Audience(Scope.ZONE, self._speakers_elsewhere()))
+        result.append(Audience(Scope.ZONE, self._aggregators_elsewhere()))
         return result
 
-    def _speakers_elsewhere(self) -> list[Member]:
+    def _aggregators_elsewhere(self) -> list[Member]:
         zone = self._members.own.zone
         answering = {member.vm for member in self._members.answering}
         by_zone: dict[str, list[Member]] = {}
@@ -114,11 +114,11 @@
 
 
 def _first(members: Sequence[Member], answering: set[str]) -> list[Member]:
-    """Return the likely speakers: those heard lately first, then by rank."""
+    """Return the likely aggregators: those heard lately first, then by rank."""
     order = sorted(members, key=lambda m: (m.vm not in answering, rank(m)))
     likely = order[:1]
     for member in sorted(members, key=rank):
-        if member not in likely and len(likely) < SPOKEN_TO:
+        if member not in likely and len(likely) < AGGREGATORS_TOLD:
             likely.append(member)
     return likely
 
--- a/packages/fleet/src/teaselledge_fleet/request/journey.py
+++ b/packages/fleet/src/teaselledge_fleet/request/context.py
@@ -11,7 +11,7 @@
 from teaselledge_fleet.request.call import Call
 from teaselledge_fleet.version.routes import Organisation, Route
 
-__all__ = ["Journey", "Outcome", "Placement", "Placer"]
+__all__ = ["RequestContext", "Outcome", "Placement", "Placer"]
 
 
 class Outcome(Enum):
@@ -40,7 +40,7 @@
 
 
 @dataclass
-class Journey:
+class RequestContext:
     """What one request has been through.
 
     Attributes
@@ -124,14 +124,16 @@
         It may stand for several that were refused unread.
         """
 
-    async def place(self, journey: Journey) -> Result[Placement, Fault]:
+    async def place(self, context: RequestContext) -> Result[Placement, Fault]:
         """Return the endpoint for the next attempt, or why there is none."""
 
     def takes_work(self, endpoint: Endpoint) -> bool:
         """Whether an endpoint is there still and not leaving."""
 
-    def began(self, journey: Journey, endpoint: Endpoint) -> None:
+    def began(self, context: RequestContext, endpoint: Endpoint) -> None:
         """Note the first part of an answer."""
 
-    def ended(self, journey: Journey, endpoint: Endpoint, outcome: Outcome) -> None:
+    def ended(
+        self, context: RequestContext, endpoint: Endpoint, outcome: Outcome
+    ) -> None:
         """Note the end of an attempt."""
--- a/packages/fleet/src/teaselledge_fleet/request/serving.py
+++ b/packages/fleet/src/teaselledge_fleet/request/serving.py
@@ -18,8 +18,8 @@
 from teaselledge_fleet.process.endpoints import Endpoint
 from teaselledge_fleet.process.metrics import FleetMetrics
 from teaselledge_fleet.request.call import Call, Dialect, EndpointHead, Onward
+from teaselledge_fleet.request.context import Outcome, Placement, Placer, RequestContext
 from teaselledge_fleet.request.events import EventSplitter
-from teaselledge_fleet.request.journey import Journey, Outcome, Placement, Placer
 from teaselledge_fleet.version.routes import Organisation, Repeat, Route, Routing
 
 __all__ = ["Server"]
@@ -100,10 +100,10 @@
             self._tell_refusal(call, incoming.caller, admitted.error)
             await self._refuse(call, sink, admitted.error)
             return
-        journey = admitted.ok
-        await _Run(self, journey, sink).go()
+        context = admitted.ok
+        await _Run(self, context, sink).go()
 
-    def _admit(self, call: Call, incoming: Incoming) -> Result[Journey, Fault]:
+    def _admit(self, call: Call, incoming: Incoming) -> Result[RequestContext, Fault]:
         routing = self.routing
         origin = incoming.origin
         if routing is None or routing.version < (origin.least_version or 0):
@@ -125,7 +125,7 @@
             seconds = min(seconds, call.patience)
         draw = hash(call.id) % 997 / 997
         return Ok(
-            Journey(
+            RequestContext(
                 call,
                 incoming.body,
                 route,
@@ -170,11 +170,13 @@
 class _Run:
     """The attempts of one request."""
 
-    def __init__(self, server: Server, journey: Journey, sink: CallerSink) -> None:
+    def __init__(
+        self, server: Server, context: RequestContext, sink: CallerSink
+    ) -> None:
         self._server = server
-        self._journey = journey
+        self._context = context
         self._sink = sink
-        self._splitter = EventSplitter() if journey.route.stream else None
+        self._splitter = EventSplitter() if context.route.stream else None
         self._fault: Fault | None = None
         self._last_part: float | None = None
 
@@ -182,7 +184,7 @@
         """Run the request to its end."""
         outcome, endpoint = Outcome.ABANDONED, None
         try:
-            async with asyncio.timeout_at(self._journey.deadline):
+            async with asyncio.timeout_at(self._context.deadline):
                 outcome, endpoint = await self._attempts()
         except TimeoutError:
             await self._time_out()
@@ -190,9 +192,9 @@
             self._tell(outcome, endpoint)
 
     async def _attempts(self) -> tuple[Outcome, Endpoint | None]:
-        journey = self._journey
+        context = self._context
         while True:
-            placed = await self._server._placer.place(journey)
+            placed = await self._server._placer.place(context)
             if placed.is_error():
                 await self._give_up(placed.error)
                 return Outcome.DECLINED, None
@@ -201,9 +203,9 @@
             try:
                 outcome = await self._attempt(placed.ok)
             finally:
-                self._server._placer.ended(journey, endpoint, outcome)
+                self._server._placer.ended(context, endpoint, outcome)
                 self._server._metrics.count(
-                    "attempts", outcome=outcome.name.lower(), service=journey.service
+                    "attempts", outcome=outcome.name.lower(), service=context.service
                 )
             if outcome in (Outcome.WHOLE, Outcome.ABANDONED):
                 return outcome, endpoint
@@ -213,45 +215,45 @@
 
     async def _attempt(self, placement: Placement) -> Outcome:
         endpoint = placement.endpoint
-        journey = self._journey
+        context = self._context
         server = self._server
-        journey.tried.append(endpoint.id)
-        once = journey.route.repeat is not Repeat.ANY
+        context.tried.append(endpoint.id)
+        once = context.route.repeat is not Repeat.ANY
         taken = await server._pool.take(endpoint.address, once)
         if taken.is_error():
             return Outcome.UNSENT
         if self._sink.gone:
             return Outcome.ABANDONED
         if not server._placer.takes_work(endpoint):
-            _log.info("endpoint left", id=journey.call.id, endpoint=endpoint.id)
+            _log.info("endpoint left", id=context.call.id, endpoint=endpoint.id)
             return Outcome.UNSENT
         outdated = self._outdated()
         if outdated is not None:
             await self._give_up(outdated)
             return Outcome.ABANDONED
-        if journey.sends == 0:
-            server._budget.note_first(journey.service)
-        journey.sends += 1
+        if context.sends == 0:
+            server._budget.note_first(context.service)
+        context.sends += 1
         _log.info(
             "attempt sent",
-            id=journey.call.id,
+            id=context.call.id,
             endpoint=endpoint.id,
             address=endpoint.address,
-            send=journey.sends,
+            send=context.sends,
             fetch_from=placement.fetch_from,
             **placement.reasons,
         )
-        before = journey.may_have_run
-        journey.may_have_run = True
+        before = context.may_have_run
+        context.may_have_run = True
         onward = self._onward(placement)
-        headers = server._dialect.onward_headers(journey.call, onward)
-        exchange = taken.ok.start(journey.call, server._dialect, headers, journey.body)
+        headers = server._dialect.onward_headers(context.call, onward)
+        exchange = taken.ok.start(context.call, server._dialect, headers, context.body)
         try:
             head = await exchange.head()
             if head.is_error():
                 return self._lost(head.error)
             if head.ok.declined:
-                journey.may_have_run = before
+                context.may_have_run = before
                 return Outcome.DECLINED
             return await self._pass_on(endpoint, head.ok, exchange)
         finally:
@@ -263,24 +265,24 @@
         A router that is held up sends seconds after it has decided. Its callers would
         see an old version in force, and engines get requests of routes that are gone.
         """
-        journey, routing = self._journey, self._server.routing
-        if routing is None or routing.version == journey.version or journey.sends:
+        context, routing = self._context, self._server.routing
+        if routing is None or routing.version == context.version or context.sends:
             return None
-        permitted = permit(routing, journey.call)
+        permitted = permit(routing, context.call)
         if permitted.is_error():
             return permitted.error
         route, _ = permitted.ok
-        if all(target.service != journey.service for target in route.targets):
+        if all(target.service != context.service for target in route.targets):
             return Fault(FaultKind.NOT_CONFIGURED, STARTING_RETRY_SECONDS)
         return None
 
     def _onward(self, placement: Placement) -> Onward:
-        journey = self._journey
-        left = journey.deadline - asyncio.get_running_loop().time()
+        context = self._context
+        left = context.deadline - asyncio.get_running_loop().time()
         after = self._splitter.last_id if self._splitter is not None else None
         return Onward(
             placement.endpoint.id,
-            journey.owner or None,
+            context.owner or None,
             max(0.001, left - HAND_OVER_SECONDS),
             after,
             placement.fetch_from,
@@ -289,7 +291,7 @@
     def _lost(self, failure: SendFailure) -> Outcome:
         _log.info(
             "attempt lost",
-            id=self._journey.call.id,
+            id=self._context.call.id,
             fault=failure.fault.value,
             reused=failure.reused,
         )
@@ -323,7 +325,7 @@
                 parts.append(part)
         except BrokenAnswerError:
             return Outcome.LOST
-        self._server._placer.began(self._journey, endpoint)
+        self._server._placer.began(self._context, endpoint)
         body = b"".join(parts)
         headers = head.headers.copy()
         if head.status not in NO_BODY and "Content-Length" not in headers:
@@ -359,9 +361,9 @@
         if self._sink.started:
             await self._sink.write(events)
             return
-        journey = self._journey
-        journey.begun = asyncio.get_running_loop().time()
-        self._server._placer.began(journey, endpoint)
+        context = self._context
+        context.begun = asyncio.get_running_loop().time()
+        self._server._placer.began(context, endpoint)
         headers = head.headers.copy()
         # the whole may come from several endpoints
         headers.pop("Content-Length", None)
@@ -371,7 +373,7 @@
         now = asyncio.get_running_loop().time()
         if self._last_part is not None:
             pause = now - self._last_part
-            self._journey.longest_pause = max(self._journey.longest_pause, pause)
+            self._context.longest_pause = max(self._context.longest_pause, pause)
         self._last_part = now
 
     def _again(self, outcome: Outcome) -> bool:
@@ -379,22 +381,22 @@
             return False
         if outcome is Outcome.UNSENT:
             return True
-        return self._server._budget.allow(self._journey.service)
+        return self._server._budget.allow(self._context.service)
 
     def _may_repeat(self, outcome: Outcome) -> bool:
-        journey = self._journey
-        route = journey.route
+        context = self._context
+        route = context.route
         if outcome is Outcome.UNSENT:
-            return len(journey.tried) - journey.sends < MAX_UNREACHED
-        if journey.sends >= route.attempts:
+            return len(context.tried) - context.sends < MAX_UNREACHED
+        if context.sends >= route.attempts:
             return False
         if outcome is Outcome.DECLINED:
             return True
         return route.repeat is not Repeat.NEVER
 
     def _last_fault(self, outcome: Outcome) -> Fault:
-        journey = self._journey
-        if journey.may_have_run:
+        context = self._context
+        if context.may_have_run:
             return Fault(FaultKind.ENDPOINT_FAILED)
         if outcome is Outcome.UNSENT:
             return Fault(FaultKind.NO_ENDPOINT, 0.3)
@@ -406,56 +408,56 @@
         if self._sink.started:
             self._sink.abort()
             return
-        if self._journey.may_have_run and ANSWERS[fault.kind].status in PROMISES:
+        if self._context.may_have_run and ANSWERS[fault.kind].status in PROMISES:
             # an earlier attempt may have run, so no promise can be made
             fault = Fault(FaultKind.ENDPOINT_FAILED)
         self._fault = fault
-        await self._server._refuse(self._journey.call, self._sink, fault)
+        await self._server._refuse(self._context.call, self._sink, fault)
 
     async def _time_out(self) -> None:
-        if self._journey.may_have_run:
+        if self._context.may_have_run:
             await self._give_up(Fault(FaultKind.ENDPOINT_TIMEOUT))
             return
         await self._give_up(Fault(FaultKind.NOT_IN_TIME, 0.5))
 
     def _count(self, outcome: Outcome, now: float) -> None:
-        journey, metrics = self._journey, self._server._metrics
-        service = journey.service
+        context, metrics = self._context, self._server._metrics
+        service = context.service
         fault = self._fault.kind.value if self._fault is not None else ""
         metrics.count(
             "requests", outcome=outcome.name.lower(), fault=fault, service=service
         )
-        metrics.observe("request_seconds", now - journey.arrived, service=service)
-        if journey.begun is not None:
-            first = journey.begun - journey.arrived
+        metrics.observe("request_seconds", now - context.arrived, service=service)
+        if context.begun is not None:
+            first = context.begun - context.arrived
             metrics.observe("first_event_seconds", first, service=service)
-            metrics.observe("pause_seconds", journey.longest_pause, service=service)
+            metrics.observe("pause_seconds", context.longest_pause, service=service)
 
     def _tell(self, outcome: Outcome, endpoint: Endpoint | None) -> None:
-        journey = self._journey
+        context = self._context
         now = asyncio.get_running_loop().time()
         self._count(outcome, now)
         first = None
-        if journey.begun is not None:
-            first = round((journey.begun - journey.arrived) * 1000)
+        if context.begun is not None:
+            first = round((context.begun - context.arrived) * 1000)
         _log.info(
             "request ended",
-            id=journey.call.id,
-            route=journey.route.name,
-            organisation=journey.owner,
-            version=journey.version,
+            id=context.call.id,
+            route=context.route.name,
+            organisation=context.owner,
+            version=context.version,
             outcome=outcome.name.lower(),
             fault=self._fault.kind.value if self._fault is not None else None,
             endpoint=endpoint.id if endpoint is not None else None,
-            tried=journey.tried,
-            prompt=journey.call.prompt.tokens if journey.call.prompt else None,
-            reading_ms=round(journey.reading * 1000),
+            tried=context.tried,
+            prompt=context.call.prompt.tokens if context.call.prompt else None,
+            reading_ms=round(context.reading * 1000),
             retry_after=self._fault.retry_after if self._fault is not None else None,
-            sends=journey.sends,
+            sends=context.sends,
             first_ms=first,
-            pause_ms=round(journey.longest_pause * 1000),
-            ms=round((now - journey.arrived) * 1000),
-            left_ms=round((journey.deadline - now) * 1000),
+            pause_ms=round(context.longest_pause * 1000),
+            ms=round((now - context.arrived) * 1000),
+            left_ms=round((context.deadline - now) * 1000),
         )
 
 
--- a/packages/fleet/tests/test_admission.py
+++ b/packages/fleet/tests/test_admission.py
@@ -8,7 +8,7 @@
 from teaselledge_fleet.process.waiting import WAIT_PART
 from teaselledge_fleet.process.work import Work, key_of
 from teaselledge_fleet.request.call import Call, Prompt, PromptPart
-from teaselledge_fleet.request.journey import Journey, Outcome
+from teaselledge_fleet.request.context import Outcome, RequestContext
 from teaselledge_fleet.version.routes import Organisation, Repeat
 from teaselledge_standins.routes import make_route
 from teaselledge_standins.spreadfleet import SpreadFleet, spread_fleet
@@ -22,7 +22,7 @@
 ENGINES = [Endpoint(f"e{n}", "books", f"10.0.0.{n}:1", f"z{n}", SLOTS) for n in (0, 1)]
 
 
-def make_journey(number: int) -> Journey:
+def make_context(number: int) -> RequestContext:
     """Return a prompt that an engine reads in 45 ms."""
     parts = (PromptPart("p1", 13_000), PromptPart(f"own{number}", 3_700))
     prompt = Prompt(16_700, 120, parts)
@@ -30,7 +30,7 @@
     route = make_route(Repeat.NEVER, stream=True, prompt=True, objective=OBJECTIVE)
     now = asyncio.get_running_loop().time()
     owner = Organisation("cellar", ())
-    return Journey(call, b"", route, "books", owner, now, now + 8.0)
+    return RequestContext(call, b"", route, "books", owner, now, now + 8.0)
 
 
 def question(sender: int, sequence: int, running: int = 0, **more) -> Question:
@@ -51,7 +51,7 @@
     placed = await asyncio.gather(
         *(
             fleet.routers[number % len(fleet.routers)].placer.place(
-                make_journey(number)
+                make_context(number)
             )
             for number in range(total)
         )
@@ -111,10 +111,10 @@
     async with spread_fleet(store_of(ENGINES[:1]), SMALL, decode_number) as fleet:
         await asyncio.sleep(5)
         engine = ENGINES[0]
-        name = fleet.routers[0].asking._keepers.of(engine).vm
-        keeper = next(r for r in fleet.routers if r.vm == name)
-        keeper.work.add(engine.id, 5, 1.0)
-        keeper.asking.report([engine.id])
+        name = fleet.routers[0].asking._coordinators.of(engine).vm
+        coordinator = next(r for r in fleet.routers if r.vm == name)
+        coordinator.work.add(engine.id, 5, 1.0)
+        coordinator.asking.report([engine.id])
         asker = next(r for r in fleet.routers if r.vm != name)
         for left in (-0.0015, -0.001, 0.0):
             answer = await asker.asking.ask(engine, 0.05, left)
@@ -179,22 +179,22 @@
     async with spread_fleet(store_of(ENGINES[:1]), SMALL, decode_number) as fleet:
         await asyncio.sleep(5)
         engine = ENGINES[0]
-        keepers = {r.asking._keepers.of(engine).vm for r in fleet.routers}
-        assert len(keepers) == 1
-        first = keepers.pop()
+        coordinators = {r.asking._coordinators.of(engine).vm for r in fleet.routers}
+        assert len(coordinators) == 1
+        first = coordinators.pop()
         next(r for r in fleet.routers if r.vm == first).kill()
         living = [r for r in fleet.routers if not r.frozen]
         loop = asyncio.get_running_loop()
         started = loop.time()
         for number in range(3):
-            places = [router.placer.place(make_journey(number)) for router in living]
+            places = [router.placer.place(make_context(number)) for router in living]
             await asyncio.gather(*places)
         # two waits in vain, and three times the answers of two routers 40 ms away
         assert loop.time() - started < 2 * 0.1 + 3 * 2 * 0.05
         await asyncio.sleep(1.5)
-        keepers = {r.asking._keepers.of(engine).vm for r in living}
-        assert len(keepers) == 1
-        assert first not in keepers
+        coordinators = {r.asking._coordinators.of(engine).vm for r in living}
+        assert len(coordinators) == 1
+        assert first not in coordinators
 
 
 async def test_a_cut_router_decides_alone():
@@ -206,13 +206,13 @@
         loop = asyncio.get_running_loop()
         for number in range(6):
             started = loop.time()
-            placed = await lonely.placer.place(make_journey(number))
+            placed = await lonely.placer.place(make_context(number))
             assert placed.is_ok()
             assert loop.time() - started <= 0.31
-            journey = make_journey(number)
+            context = make_context(number)
             engine = placed.ok.endpoint
-            lonely.placer.began(journey, engine)
-            lonely.placer.ended(journey, engine, Outcome.WHOLE)
+            lonely.placer.began(context, engine)
+            lonely.placer.ended(context, engine, Outcome.WHOLE)
 
 
 async def test_a_caller_that_leaves_while_asking_leaves_nothing_behind():
@@ -220,13 +220,13 @@
     async with spread_fleet(store_of(ENGINES), SMALL, decode_number) as fleet:
         await asyncio.sleep(5)
         for router in fleet.routers:
-            journey = make_journey(1)
-            task = asyncio.create_task(router.placer.place(journey))
+            context = make_context(1)
+            task = asyncio.create_task(router.placer.place(context))
             await asyncio.sleep(0.01)
             if task.done():
                 # it admits there itself and asks nobody: its request has begun
                 sent = task.result().ok.endpoint
-                router.placer.ended(journey, sent, Outcome.ABANDONED)
+                router.placer.ended(context, sent, Outcome.ABANDONED)
             task.cancel()
         await asyncio.sleep(1.0)
         for engine in ENGINES:
--- a/packages/fleet/tests/test_members.py
+++ b/packages/fleet/tests/test_members.py
@@ -68,7 +68,7 @@
 
 
 async def test_status_from_the_own_zone_ages_with_the_evidence_behind_it(members):
-    """When routers take turns in speaking for a zone, each would renew a silent one."""
+    """When routers take turns as the aggregator, each would renew a silent one."""
     members.hear(OTHER)
     for _ in range(6):
         await asyncio.sleep(0.4)
--- a/packages/fleet/tests/test_placing.py
+++ b/packages/fleet/tests/test_placing.py
@@ -11,7 +11,7 @@
 from teaselledge_fleet.process.shares import Use
 from teaselledge_fleet.process.work import Work, key_of
 from teaselledge_fleet.request.call import Call, Prompt, PromptPart
-from teaselledge_fleet.request.journey import Journey, Outcome
+from teaselledge_fleet.request.context import Outcome, RequestContext
 from teaselledge_fleet.version.routes import Organisation, Repeat
 from teaselledge_standins.routes import make_route
 from tornado.httputil import HTTPHeaders
@@ -35,7 +35,7 @@
         self.view.merge(Entry(e.id, 1, e) for e in ENGINES)
         self.placer = FleetPlacer(self.view, "north", ZONES)
 
-    def journey(self, part: str = "p1", shared: int = 13_000, own: int = 3_700, **more):
+    def context(self, part: str = "p1", shared: int = 13_000, own: int = 3_700, **more):
         """Return a request with a prompt."""
         self.asked += 1
         parts = (PromptPart(part, shared), PromptPart(f"own{self.asked}", own))
@@ -45,15 +45,15 @@
         route = make_route(Repeat.NEVER, stream=True, prompt=True, objective=0.8)
         owner = Organisation(more.get("owner", "cellar"), ())
         body = b"x" * more.get("size", 17_000)
-        return Journey(call, body, route, "books", owner, now, now + 8.0)
+        return RequestContext(call, body, route, "books", owner, now, now + 8.0)
 
     def fill(self, engine: str, reading: float, running: int = 1) -> None:
         """Let another router tell of work at an engine."""
         self.placer.work.hear("r2", {key_of(engine): Work(running, reading)})
 
 
-async def placed(desk: Desk, journey: Journey):
-    result = await desk.placer.place(journey)
+async def placed(desk: Desk, context: RequestContext):
+    result = await desk.placer.place(context)
     return result.ok.endpoint.id if result.is_ok() else result.error
 
 
@@ -63,9 +63,9 @@
     for part in ("p1", "p2", "p3", "p4"):
         chosen = set()
         for _ in range(5):
-            journey = desk.journey(part)
-            chosen.add(await placed(desk, journey))
-            desk.placer.began(journey, desk.view.get(next(iter(chosen))))
+            context = desk.context(part)
+            chosen.add(await placed(desk, context))
+            desk.placer.began(context, desk.view.get(next(iter(chosen))))
         assert chosen == {ranked(part, ENGINES)[0].id}
 
 
@@ -73,8 +73,8 @@
     here, there = Desk(), Desk()
     there.placer = FleetPlacer(there.view, "far", ZONES)
     for part in ("p1", "p2", "p3"):
-        assert await placed(here, here.journey(part)) == await placed(
-            there, there.journey(part)
+        assert await placed(here, here.context(part)) == await placed(
+            there, there.context(part)
         )
 
 
@@ -83,14 +83,14 @@
     home = ranked("p1", ENGINES)[0].id
     other = ranked("p1", ENGINES)[1].id
     desk.view.merge([Entry(other, 2, None)])
-    assert await placed(desk, desk.journey("p1")) == home
+    assert await placed(desk, desk.context("p1")) == home
 
 
 async def test_a_new_first_choice_copies_the_part_from_the_old_one():
     """The engine that keeps a part leaves; the next one need not read it anew."""
     desk = Desk()
     home, second = ranked("p1", ENGINES)[:2]
-    result = await desk.placer.place(desk.journey("p1"))
+    result = await desk.placer.place(desk.context("p1"))
     assert result.ok.endpoint == home
     assert result.ok.fetch_from == second.address
 
@@ -105,7 +105,7 @@
     for engine in ENGINES:
         desk.fill(engine.id, 0.0)
     desk.placer.work.hear("r2", {key_of(e.id): Work(5, 0.6) for e in ENGINES})
-    refused = await placed(desk, desk.journey())
+    refused = await placed(desk, desk.context())
     assert refused.kind is FaultKind.OVER_CAPACITY
     assert 0 < refused.retry_after < 2
 
@@ -114,8 +114,8 @@
     desk = Desk()
     home = ranked("chat", ENGINES)[0].id
     desk.fill(home, 0.05, running=47)
-    journey = desk.journey("chat", shared=350, own=1_100, size=1_500)
-    assert await placed(desk, journey) != home
+    context = desk.context("chat", shared=350, own=1_100, size=1_500)
+    assert await placed(desk, context) != home
 
 
 async def test_over_share_is_refused_before_the_others():
@@ -129,32 +129,32 @@
         },
     )
     desk.placer.work.hear("r2", {key_of(e.id): Work(5, 0.2) for e in ENGINES})
-    flood = await placed(desk, desk.journey(owner="flood"))
+    flood = await placed(desk, desk.context(owner="flood"))
     assert flood.kind is FaultKind.OVER_SHARE
-    assert isinstance(await placed(desk, desk.journey(owner="cellar")), str)
+    assert isinstance(await placed(desk, desk.context(owner="cellar")), str)
 
 
 async def test_nobody_is_refused_while_engines_have_room():
     desk = Desk()
     desk.placer.shares.hear("r2", {key_of("flood"): Use(900_000, 500_000)})
-    assert isinstance(await placed(desk, desk.journey(owner="flood")), str)
+    assert isinstance(await placed(desk, desk.context(owner="flood")), str)
 
 
 async def test_work_of_a_silent_router_is_forgotten():
     """A router is cut off; what it had told must not block engines for ever."""
     desk = Desk()
     desk.placer.work.hear("r2", {key_of(e.id): Work(48, 5.0) for e in ENGINES})
-    assert not isinstance(await placed(desk, desk.journey()), str)
+    assert not isinstance(await placed(desk, desk.context()), str)
     await asyncio.sleep(2.5)
-    assert isinstance(await placed(desk, desk.journey()), str)
+    assert isinstance(await placed(desk, desk.context()), str)
 
 
 async def test_ended_requests_leave_nothing_behind():
     desk = Desk()
     for outcome in Outcome:
-        journey = desk.journey()
-        name = await placed(desk, journey)
-        desk.placer.ended(journey, desk.view.get(name), outcome)
+        context = desk.context()
+        name = await placed(desk, context)
+        desk.placer.ended(context, desk.view.get(name), outcome)
         await asyncio.sleep(60)
     for engine in ENGINES:
         total = desk.placer.work.total(engine.id)
@@ -163,12 +163,12 @@
 
 async def test_an_engine_that_can_not_be_reached_is_left_for_a_while():
     desk = Desk()
-    journey = desk.journey("p1")
-    home = await placed(desk, journey)
-    desk.placer.ended(journey, desk.view.get(home), Outcome.UNSENT)
-    assert await placed(desk, desk.journey("p1")) != home
+    context = desk.context("p1")
+    home = await placed(desk, context)
+    desk.placer.ended(context, desk.view.get(home), Outcome.UNSENT)
+    assert await placed(desk, desk.context("p1")) != home
     await asyncio.sleep(5)
-    assert await placed(desk, desk.journey("p1")) == home
+    assert await placed(desk, desk.context("p1")) == home
 
 
 @dataclass
@@ -198,7 +198,7 @@
     directory = Directory([key_of(third.id)])
     desk.placer.locate_with(directory)
     desk.placer.work.hear("r2", {key_of(third.id): Work(5, 0.35)})
-    result = await desk.placer.place(desk.journey("p1"))
+    result = await desk.placer.place(desk.context("p1"))
     assert result.ok.endpoint != third
     assert result.ok.fetch_from == third.address
     assert directory.told == [result.ok.endpoint.id]
@@ -208,26 +208,26 @@
     desk = Desk()
     third = ranked("p1", ENGINES)[2]
     desk.placer.locate_with(Directory([key_of(third.id)]))
-    assert await placed(desk, desk.journey("p1")) == third.id
+    assert await placed(desk, desk.context("p1")) == third.id
 
 
 async def test_a_part_that_nobody_keeps_is_read_whole_by_its_first_choice():
     """The part was dropped everywhere; the engine is behind by its whole length."""
     desk = Desk()
     desk.placer.locate_with(Directory([]))
-    journey = desk.journey("p1", shared=13_000, own=3_700)
-    assert await placed(desk, journey) == ranked("p1", ENGINES)[0].id
-    kept = desk.journey("p1", shared=13_000, own=3_700)
+    context = desk.context("p1", shared=13_000, own=3_700)
+    assert await placed(desk, context) == ranked("p1", ENGINES)[0].id
+    kept = desk.context("p1", shared=13_000, own=3_700)
     desk.placer.locate_with(Directory([key_of(ranked("p1", ENGINES)[0].id)]))
     await placed(desk, kept)
-    assert journey.reading > 2 * kept.reading
+    assert context.reading > 2 * kept.reading
 
 
 async def test_without_a_directory_the_first_choice_is_taken_to_keep_a_part():
     """The router that keeps the directory is cut off; requests go on as before."""
     desk = Desk()
     desk.placer.locate_with(Directory(None))
-    assert await placed(desk, desk.journey("p1")) == ranked("p1", ENGINES)[0].id
+    assert await placed(desk, desk.context("p1")) == ranked("p1", ENGINES)[0].id
 
 
 async def test_short_parts_are_not_asked_for():
@@ -235,8 +235,8 @@
     desk = Desk()
     directory = Directory([key_of(ranked("p1", ENGINES)[2].id)])
     desk.placer.locate_with(directory)
-    journey = desk.journey("p1", shared=300, own=600, size=900)
-    assert await placed(desk, journey) == ranked("p1", ENGINES)[0].id
+    context = desk.context("p1", shared=300, own=600, size=900)
+    assert await placed(desk, context) == ranked("p1", ENGINES)[0].id
     assert directory.told == []
 
 
@@ -244,7 +244,7 @@
     """Two organisations give engines the same work; one of them shares a long part."""
     desk = Desk()
     for owner, shared in (("cellar", 13_000), ("flood", 1_000)):
-        await placed(desk, desk.journey("p1", shared=shared, own=3_700, owner=owner))
+        await placed(desk, desk.context("p1", shared=shared, own=3_700, owner=owner))
     uses = desk.placer.shares.own()
     assert uses[key_of("cellar")] == uses[key_of("flood")]
 
@@ -259,7 +259,7 @@
     home = ranked("p1", ENGINES)[0].id
     desk.placer.locate_with(Directory([key_of(home)]))
     desk.fill(home, 0.45, running=3)
-    placed_at = await placed(desk, desk.journey("p1", shared=30_000))
+    placed_at = await placed(desk, desk.context("p1", shared=30_000))
     assert isinstance(placed_at, str)
     assert placed_at != home
 
@@ -275,6 +275,6 @@
 
     desk.placer.ask_with(ask)
     desk.placer.work.hear("r2", {key_of(e.id): Work(5, 0.6) for e in ENGINES})
-    refused = await placed(desk, desk.journey())
+    refused = await placed(desk, desk.context())
     assert refused.kind is FaultKind.OVER_CAPACITY
     assert len(asked) == 1
--- a/packages/fleet/tests/test_serving.py
+++ b/packages/fleet/tests/test_serving.py
@@ -389,9 +389,9 @@
     def __getattr__(self, name):
         return getattr(self._placer, name)
 
-    async def place(self, journey):
+    async def place(self, context):
         """Place, and then let the version come."""
-        placed = await self._placer.place(journey)
+        placed = await self._placer.place(context)
         self._server.routing = self._routing
         return placed
 
--- a/packages/fleet/tests/test_spreading.py
+++ b/packages/fleet/tests/test_spreading.py
@@ -158,14 +158,14 @@
     assert sent / MANY / 10 < 7_000
 
 
-async def test_changes_reach_a_large_fleet_when_a_speaker_dies():
-    """The router that speaks for its zone is killed just as an engine leaves."""
+async def test_changes_reach_a_large_fleet_when_an_aggregator_dies():
+    """The aggregator of a zone is killed just as an engine leaves."""
     store = new_store()
     async with spread_fleet(store, MANY, decode_number) as fleet:
         await asyncio.sleep(5)
-        speakers = [r for r in fleet.routers if r.spreading._topology.speaks]
-        assert len(speakers) == 3
-        speakers[0].kill()
+        aggregators = [r for r in fleet.routers if r.spreading._topology.aggregates]
+        assert len(aggregators) == 3
+        aggregators[0].kill()
         store.put(endpoint("e1", leaving=True))
         store.configure(b"2")
         seconds = await wait_for(fleet, lambda r: r.belief.view.get("e1").leaving)
@@ -210,7 +210,7 @@
 async def test_routers_of_a_zone_find_one_another_through_seeds_of_other_zones():
     """Many routers start at once, and know three seeds in other zones only.
 
-    Seeds speak to their own zones. A router that nobody hears gets no callers, and
+    Seeds send to their own zones. A router that nobody hears gets no callers, and
     sends those that ask it to itself alone.
     """
     async with spread_fleet(new_store(), MANY, decode_number, zones=6) as fleet:
--- a/packages/standins/src/teaselledge_standins/routes.py
+++ b/packages/standins/src/teaselledge_standins/routes.py
@@ -12,7 +12,7 @@
 from teaselledge_fleet.process.budget import RepeatBudget
 from teaselledge_fleet.process.endpoints import Endpoint
 from teaselledge_fleet.request.call import Call
-from teaselledge_fleet.request.journey import Journey, Outcome, Placement
+from teaselledge_fleet.request.context import Outcome, Placement, RequestContext
 from teaselledge_fleet.request.owndialect import OwnDialect
 from teaselledge_fleet.request.serving import Server
 from teaselledge_fleet.version.routes import (
@@ -80,10 +80,10 @@
     ) -> None:
         """Do nothing."""
 
-    async def place(self, journey: Journey) -> Result[Placement, Fault]:
+    async def place(self, context: RequestContext) -> Result[Placement, Fault]:
         """Return the first endpoint that was not tried."""
         for endpoint in self.endpoints:
-            if endpoint.id not in journey.tried:
+            if endpoint.id not in context.tried:
                 return Ok(Placement(endpoint))
         return Error(Fault(FaultKind.NO_ENDPOINT, 0.5))
 
@@ -91,10 +91,12 @@
         """Whether the endpoint is not leaving."""
         return endpoint.id not in self.leaving
 
-    def began(self, journey: Journey, endpoint: Endpoint) -> None:
+    def began(self, context: RequestContext, endpoint: Endpoint) -> None:
         """Do nothing."""
 
-    def ended(self, journey: Journey, endpoint: Endpoint, outcome: Outcome) -> None:
+    def ended(
+        self, context: RequestContext, endpoint: Endpoint, outcome: Outcome
+    ) -> None:
         """Note the outcome."""
         self.outcomes.append(outcome)
 
--- a/packages/standins/src/teaselledge_standins/spreadfleet.py
+++ b/packages/standins/src/teaselledge_standins/spreadfleet.py
@@ -17,8 +17,8 @@
 from teaselledge_fleet.process.admission import Admission
 from teaselledge_fleet.process.asking import Asking
 from teaselledge_fleet.process.belief import Belief, Decode
+from teaselledge_fleet.process.coordinators import Coordinators
 from teaselledge_fleet.process.following import StoreFollower
-from teaselledge_fleet.process.keepers import Keepers
 from teaselledge_fleet.process.locating import PartLocator
 from teaselledge_fleet.process.members import Member, Members, MemberState
 from teaselledge_fleet.process.placing import FleetPlacer
@@ -123,16 +123,16 @@
         placer = FleetPlacer(belief.view, zone, {})
         work, admission = placer.work, Admission()
         work.kept = admission.total
-        keepers = Keepers(members)
+        coordinators = Coordinators(members)
         link = _Link(self, vm)
         spreading = Spreading(
-            members, belief, seeds, work, admission, placer.shares, link, keepers
+            members, belief, seeds, work, admission, placer.shares, link, coordinators
         )
         spreading._client = link  # type: ignore[assignment]
-        asking = Asking(members, belief.view, work, admission, link, keepers)
+        asking = Asking(members, belief.view, work, admission, link, coordinators)
         follower = StoreFollower(vm, StoreClient(self.store, vm), belief)
         placer.ask_with(asking.ask)
-        placer.locate_with(PartLocator(members, link, keepers))
+        placer.locate_with(PartLocator(members, link, coordinators))
         router = SpreadRouter(
             vm, members, belief, follower, spreading, asking, placer, work, link
         )
