One module for accepting, a port in place of an address, the field's word for aggregates

Routers tell the port at which they take connections over, not the address (14 bytes of each pulse). Evidence from the aggregator of a zone was called relayed, like the connections that are passed on.

--- a/packages/fleet/src/teaselledge_fleet/connection/front.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/front.py
@@ -3,10 +3,8 @@
 import asyncio
 import random
 import socket
-from collections.abc import Awaitable, Callable, Coroutine
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable
 from typing import Any
-from weakref import WeakKeyDictionary
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
@@ -20,20 +18,12 @@
     ResponseStartLine,
     responses,
 )
-from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
-from tornado.netutil import add_accept_handler, bind_sockets
-
-from teaselledge_fleet.connection.refusing import QuickRefusals
-from teaselledge_fleet.connection.relay import (
-    PREFACE_BYTES,
-    RelayPool,
-    preface,
-    read_preface,
-)
-from teaselledge_fleet.faults import ANSWERS, Fault, FaultKind, body_of, head_of
+from tornado.iostream import StreamClosedError
+
+from teaselledge_fleet.connection.accepting import OWN_CALLER, Acceptor, Origin
 from teaselledge_fleet.log import get_log
 
-__all__ = ["CallerSink", "FrontServer", "Incoming", "Origin"]
+__all__ = ["CallerSink", "FrontServer", "Incoming"]
 
 _log = get_log("front")
 
@@ -44,40 +34,6 @@
 after a gap of 2 to 4 s, so none that still waits is cut.
 """
 
-PREFACE_SECONDS = 1.0
-"""A router sends its preface with the connection; callers wait no longer either."""
-
-SAMPLED = 8
-"""Of so many connections that are refused for want of time, one is read."""
-
-SOONEST_RETRY, LATEST_RETRY, RETRY_STEPS = 0.5, 1.5, 11
-"""Seconds after which callers come back that were refused unread. All of them may come
-back to this router, so they are spread over the time in which its streams end."""
-
-BACKLOG = 1024
-"""Connections that wait to be accepted; beyond it, opening packets are dropped and
-sent again a second later."""
-
-
-@dataclass(frozen=True)
-class Origin:
-    """How a connection came to this router.
-
-    Attributes
-    ----------
-    least_version : int or None
-        Configuration in force at the router that passed it on; None where a caller
-        connected here.
-    stands_for : int
-        Requests that it is a sample of; the others were refused unread.
-    """
-
-    least_version: int | None = None
-    stands_for: int = 1
-
-
-OWN_CALLER = Origin()
-
 
 class Incoming:
     """A request that was read in full.
@@ -205,7 +161,7 @@
     def headers_received(self, start_line: Any, headers: HTTPHeaders) -> None:
         now = asyncio.get_running_loop().time()
         caller = getattr(self._connection.context, "remote_ip", "")
-        origin = self._server.origin_of(self._connection)
+        origin = self._server.acceptor.origin_of(self._connection.stream)
         self._incoming = Incoming(start_line, headers, now, caller, origin)
         self._server.note_reading(self)
 
@@ -242,28 +198,6 @@
             self._server.note_done(self)
 
 
-def _refusals() -> list[bytes]:
-    """Return answers that promise that a request has not run, for several times."""
-    found = []
-    for step in range(RETRY_STEPS):
-        share = step / (RETRY_STEPS - 1)
-        seconds = SOONEST_RETRY + share * (LATEST_RETRY - SOONEST_RETRY)
-        fault = Fault(FaultKind.ROUTER_BUSY, seconds)
-        body = body_of(fault)
-        headers = head_of(fault, HTTPHeaders({"Connection": "close"}), len(body))
-        status = ANSWERS[fault.kind].status
-        lines = [f"HTTP/1.1 {status} {responses[status]}"]
-        lines += [f"{name}: {value}" for name, value in headers.get_all()]
-        found.append("\r\n".join([*lines, "", ""]).encode() + body)
-    return found
-
-
-@dataclass(frozen=True)
-class _Listener:
-    socket: socket.socket
-    stop: Callable[[], None]
-
-
 class FrontServer(HTTPServerConnectionDelegate):
     """Serves callers on one listener.
 
@@ -278,17 +212,10 @@
 
     Attributes
     ----------
-    accepted, passed_on : int
-        Connections that callers have opened, and those that other routers took over.
-    choose_router : callable
-        Returns where another router takes over a new connection, None where it is to
-        be served here.
-    version : callable
-        Returns the version of the configuration in force.
-    has_time : callable
-        Whether the router has time for one more connection.
-    sampled : int
-        Connections that were refused and read all the same.
+    acceptor : Acceptor
+        Decides what becomes of new connections.
+    moving : callable
+        Returns the part of the callers that are asked to connect anew, 0 to 1.
     """
 
     def __init__(
@@ -296,18 +223,7 @@
     ) -> None:
         self.serve = serve
         self.moving: Callable[[], float] = lambda: 0.0
-        self.choose_router: Callable[[], str | None] = lambda: None
-        self.version: Callable[[], int] = lambda: 0
-        self.has_time: Callable[[], bool] = lambda: True
-        self.accepted = 0
-        self.passed_on = 0
-        self.sampled = 0
-        self._relays = RelayPool(idle_seconds)
-        self._passing: set[asyncio.Task[None]] = set()
-        self._origins: WeakKeyDictionary[IOStream, Origin] = WeakKeyDictionary()
-        self._refusals = QuickRefusals(_refusals())
         self._running: set[_Reader] = set()
-        self._listeners: list[_Listener] = []
         self._ports: list[int] = []
         self._http = HTTPServer(
             self,
@@ -315,6 +231,7 @@
             max_body_size=body_bytes,
             idle_connection_timeout=idle_seconds,
         )
+        self.acceptor = Acceptor(self._http.handle_stream, idle_seconds)
 
     @property
     def ports(self) -> list[int]:
@@ -324,28 +241,11 @@
     @property
     def running(self) -> int:
         """Requests that are being read or answered."""
-        return len(self._running) + self._relays.running
-
-    @property
-    def refused(self) -> int:
-        """Connections refused for want of time."""
-        return self._refusals.count + self.sampled
+        return len(self._running) + self.acceptor.passing
 
     def listen(self, host: str, port: int) -> None:
         """Listen on an address for callers."""
-        sockets = bind_sockets(port, host, backlog=BACKLOG)
-        self._ports += [sock.getsockname()[1] for sock in sockets]
-        self._add_listeners(sockets, self._accept)
-
-    def listen_to_routers(self, host: str, port: int) -> None:
-        """Listen on an address for connections that other routers pass on."""
-        sockets = bind_sockets(port, host, backlog=BACKLOG)
-        self._add_listeners(sockets, self._accept_passed_on)
-
-    def origin_of(self, connection: HTTP1Connection) -> Origin:
-        """Return how a connection came here."""
-        stream = connection.stream
-        return self._origins.get(stream, OWN_CALLER) if stream else OWN_CALLER
+        self._ports += self.acceptor.listen(host, port)
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
@@ -369,81 +269,9 @@
 
     def stop(self) -> None:
         """Take no new connections."""
-        for listener in self._listeners:
-            listener.stop()
-            listener.socket.close()
-        self._listeners.clear()
+        self.acceptor.stop()
 
     async def close(self) -> None:
         """Close all connections."""
-        for task in self._passing:
-            task.cancel()
-        self._relays.close()
-        self._refusals.close()
+        self.acceptor.close()
         await self._http.close_all_connections()
-
-    def _add_listeners(
-        self,
-        sockets: list[socket.socket],
-        accept: Callable[[socket.socket, Any], None],
-    ) -> None:
-        for sock in sockets:
-            stop = add_accept_handler(sock, accept)
-            self._listeners.append(_Listener(sock, stop))
-
-    def _accept(self, connection: socket.socket, address: Any) -> None:
-        self.accepted += 1
-        if not self.has_time():
-            self._refuse(connection, address)
-            return
-        router = None if self._relays.full else self.choose_router()
-        if router is None:
-            self._http.handle_stream(IOStream(connection), address)
-            return
-        self._start(self._pass_on(connection, address, router))
-
-    def _refuse(self, connection: socket.socket, address: Any) -> None:
-        """Refuse a connection, most of them without reading the request.
-
-        Some are read, so that it is known whose requests these are.
-        """
-        if self.refused % SAMPLED:
-            self._refusals.refuse(connection)
-            return
-        stream = IOStream(connection)
-        self._origins[stream] = Origin(stands_for=SAMPLED)
-        self.sampled += 1
-        self._http.handle_stream(stream, address)
-
-    async def _pass_on(
-        self, connection: socket.socket, address: Any, router: str
-    ) -> None:
-        connection.setblocking(False)
-        greeting = preface(self.version())
-        if await self._relays.pass_on(connection, router, greeting):
-            self.passed_on += 1
-            return
-        self._http.handle_stream(IOStream(connection), address)
-
-    def _accept_passed_on(self, connection: socket.socket, address: Any) -> None:
-        self._start(self._take_over(IOStream(connection), address))
-
-    async def _take_over(self, stream: IOStream, address: Any) -> None:
-        try:
-            async with asyncio.timeout(PREFACE_SECONDS):
-                line = await stream.read_until(b"\n", max_bytes=PREFACE_BYTES)
-        except (TimeoutError, StreamClosedError, UnsatisfiableReadError):
-            stream.close()
-            return
-        version = read_preface(line)
-        if version is None:
-            _log.warning("connection without a preface", router=address[0])
-            stream.close()
-            return
-        self._origins[stream] = Origin(least_version=version)
-        self._http.handle_stream(stream, address)
-
-    def _start(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
-        self._passing.add(task)
-        task.add_done_callback(self._passing.discard)
--- a/packages/fleet/src/teaselledge_fleet/process/members.py
+++ b/packages/fleet/src/teaselledge_fleet/process/members.py
@@ -20,9 +20,9 @@
 power makes each caller that still connects to it wait a second.
 """
 
-RELAYED_SECONDS = 2.0
-"""The same for routers of the own zone that are heard through another one of it: their
-own pulses come each 0.4 s, and so do those that relay them."""
+AGGREGATED_SECONDS = 2.0
+"""The same for routers of the own zone that its aggregator has heard: their pulses come
+each 0.4 s, and so do the aggregator's."""
 
 HINT_SECONDS = 3.0
 """The same for routers that others have heard. Callers are sent to them only where
@@ -65,9 +65,8 @@
         Processor time that it may use each second.
     busy : float
         Part of it that is in use.
-    relays : str
-        Where it takes over callers' connections, ``host:port``; empty where it takes
-        none.
+    relay_port : int
+        Where it takes over callers' connections; 0 where it takes none.
     """
 
     vm: str
@@ -79,7 +78,13 @@
     state: MemberState = MemberState.STARTING
     cores: float = 1.0
     busy: float = field(default=0.0, compare=False)
-    relays: str = ""
+    relay_port: int = 0
+
+    @property
+    def relays(self) -> str | None:
+        """Where it takes over callers' connections, ``host:port``."""
+        host, _, _ = self.callers.rpartition(":")
+        return f"{host}:{self.relay_port}" if self.relay_port else None
 
     @classmethod
     def from_wire(cls, info: RouterInfo) -> "Member":
@@ -94,7 +99,7 @@
             MemberState(info.state or 0),
             (info.cores or MILLICORES) / MILLICORES,
             (info.busy or 0) / PERCENT,
-            info.relays or "",
+            info.relay_port or 0,
         )
 
     def to_wire(self) -> RouterInfo:
@@ -109,7 +114,7 @@
             int(self.state),
             int(self.cores * MILLICORES),
             int(self.busy * PERCENT),
-            relays=self.relays or None,
+            relay_port=self.relay_port or None,
         )
 
 
@@ -185,7 +190,7 @@
     """Loop time at which it was heard or became known."""
     direct: float = -math.inf
     """Loop time at which this router last heard it."""
-    relayed: float = -math.inf
+    aggregated: float = -math.inf
     """The same of the aggregator of this zone."""
     reported: float = -math.inf
     """The same of any other router."""
@@ -193,17 +198,18 @@
     @property
     def heard(self) -> float:
         """Loop time at which any router last heard it."""
-        return max(self.direct, self.relayed, self.reported)
+        return max(self.direct, self.aggregated, self.reported)
 
     def answers(self, now: float) -> bool:
         """Whether it was heard lately, here or in this zone."""
         return (
-            now - self.direct <= SILENT_SECONDS or now - self.relayed <= RELAYED_SECONDS
+            now - self.direct <= SILENT_SECONDS
+            or now - self.aggregated <= AGGREGATED_SECONDS
         )
 
     def settled(self, now: float) -> bool:
         """Whether reports of others can't tell more than is known here."""
-        return now - max(self.direct, self.relayed) < HINT_SECONDS
+        return now - max(self.direct, self.aggregated) < HINT_SECONDS
 
     def advertised(self, now: float) -> bool:
         """Whether callers may be sent to it."""
@@ -300,8 +306,8 @@
             return False
         known = self._known.get(member.vm)
         now = self._now()
-        relayed = known.relayed if known is not None else -math.inf
-        self._known[member.vm] = _Known(member, now, direct=now, relayed=relayed)
+        aggregated = known.aggregated if known is not None else -math.inf
+        self._known[member.vm] = _Known(member, now, direct=now, aggregated=aggregated)
         return known is None or known.member != member
 
     def take_statuses(self, told: Mapping[int, Status]) -> None:
@@ -316,7 +322,7 @@
                 known.member = replace(
                     known.member, state=status.state, busy=status.busy
                 )
-            known.relayed = max(known.relayed, heard)
+            known.aggregated = max(known.aggregated, heard)
             known.noted = max(known.noted, heard)
 
     def learn(self, report: Report) -> bool:
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -105,7 +105,7 @@
             settings.listeners.callers,
             settings.listeners.peers,
             cores=settings.cores,
-            relays=settings.listeners.relays,
+            relay_port=_port(settings.listeners.relays),
         )
         self._members = Members(own)
         self._busyness = Busyness(settings.cores)
@@ -126,11 +126,12 @@
             limits.idle_seconds,
         )
         self._front.moving = lambda: self._busyness.crowded
-        self._front.version = lambda: self._belief.version
+        acceptor = self._front.acceptor
+        acceptor.version = lambda: self._belief.version
         self._offloading = Offloading(self._members)
-        self._front.choose_router = self._choose_router
+        acceptor.choose_router = self._choose_router
         self._limit = ConnectionLimit()
-        self._front.has_time = lambda: self._limit.allows(self._front.running)
+        acceptor.has_time = lambda: self._limit.allows(self._front.running)
         self._follower = StoreFollower(place.vm, store, self._belief)
         self._registration = Registration(store, self._members)
         self._socket = PeerSocket()
@@ -168,7 +169,7 @@
         listeners = self._settings.listeners
         self._front.listen(*_split(listeners.callers))
         if listeners.relays:
-            self._front.listen_to_routers(*_split(listeners.relays))
+            self._front.acceptor.listen_to_routers(*_split(listeners.relays))
         self._listen(listeners.ready, self._answer_ready)
         if listeners.addresses:
             self._listen(listeners.addresses, self._answer_addresses)
@@ -233,7 +234,7 @@
                     limit=round(self._limit.limit) if limited else None,
                     running=self._front.running,
                     longest_turn_ms=round(longest * 1000),
-                    refused=self._front.refused,
+                    refused=self._front.acceptor.refused,
                 )
 
     def _choose_router(self) -> str | None:
@@ -310,9 +311,9 @@
         age = self._belief.age
         metrics.set("running", self._front.running)
         metrics.set("busy", self._busyness.busy)
-        metrics.set_total("caller_connections", self._front.accepted)
-        metrics.set_total("connections_passed_on", self._front.passed_on)
-        metrics.set_total("connections_refused", self._front.refused)
+        metrics.set_total("caller_connections", self._front.acceptor.accepted)
+        metrics.set_total("connections_passed_on", self._front.acceptor.passed_on)
+        metrics.set_total("connections_refused", self._front.acceptor.refused)
         metrics.set("version", self._belief.version)
         metrics.set("store_age_seconds", -1.0 if age is None else age)
         metrics.set("routers_answering", len(self._members.answering))
@@ -332,6 +333,11 @@
     )
 
 
+def _port(address: str) -> int:
+    """Return the port of an address, 0 for none."""
+    return _split(address)[1] if address else 0
+
+
 def _split(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host, int(port)
--- a/packages/fleet/tests/test_members.py
+++ b/packages/fleet/tests/test_members.py
@@ -61,7 +61,7 @@
     assert advertised(members)
 
 
-def relayed(silent: float) -> dict:
+def aggregated(silent: float) -> dict:
     """Return what a router of the zone tells of the other one."""
     reports = [Report(OTHER, silent)]
     return unpack_alive(pack_alive(reports), pack_ages(reports))
@@ -73,7 +73,7 @@
     for _ in range(6):
         await asyncio.sleep(0.4)
         silent = members.report(OTHER).silent
-        members.take_statuses(relayed(silent))
+        members.take_statuses(aggregated(silent))
         assert advertised(members) == (silent <= 2.0)
     assert members.report(OTHER).silent > 2.3
 
--- a/packages/fleet/tests/test_relay.py
+++ b/packages/fleet/tests/test_relay.py
@@ -64,7 +64,7 @@
     answered = await ask(pair.crowded.port)
     assert (answered.status, answered.body) == (200, EVENT)
     assert answered.headers["connection"] == "close"
-    assert pair.crowded.router._front.passed_on == 1
+    assert pair.crowded.router._front.acceptor.passed_on == 1
 
 
 async def test_caller_that_leaves_ends_its_request_at_the_other_router(pair):
@@ -116,14 +116,14 @@
     pair.neighbour.use_up()
     await asyncio.sleep(SETTLED_SECONDS)
     assert (await ask(pair.crowded.port)).status == 503
-    assert pair.crowded.router._front.passed_on == 0
+    assert pair.crowded.router._front.acceptor.passed_on == 0
 
 
 async def test_leaving_router_passes_nothing_on(pair):
     """A request passed on late would be cut when this router ends."""
     pair.crowded.router._server.leaving = True
     assert (await ask(pair.crowded.port)).status == 503
-    assert pair.crowded.router._front.passed_on == 0
+    assert pair.crowded.router._front.acceptor.passed_on == 0
 
 
 async def test_connection_that_fell_silent_is_given_up():
--- a/packages/wire/fleet.thrift
+++ b/packages/wire/fleet.thrift
@@ -16,8 +16,8 @@
   // milliseconds since it was last heard itself, as far as the sender of this knows;
   // absent where nobody that the sender knows of has heard it
   10: optional i32 silent_ms,
-  // where it takes over connections of callers, host:port
-  11: optional string relays,
+  // port at which it takes over connections of callers, on the host of callers
+  11: optional i32 relay_port,
 }
 
 // An endpoint's entry as of a revision of the store.
--- a/packages/wire/src/teaselledge_wire/gen/fleet/ttypes.py
+++ b/packages/wire/src/teaselledge_wire/gen/fleet/ttypes.py
@@ -29,7 +29,7 @@
      - cores
      - busy
      - silent_ms
-     - relays
+     - relay_port
 
     """
 
@@ -44,11 +44,11 @@
         'cores',
         'busy',
         'silent_ms',
-        'relays',
+        'relay_port',
     )
 
 
-    def __init__(self, vm=None, incarnation=None, zone=None, region=None, callers=None, peers=None, state=None, cores=None, busy=None, silent_ms=None, relays=None,):
+    def __init__(self, vm=None, incarnation=None, zone=None, region=None, callers=None, peers=None, state=None, cores=None, busy=None, silent_ms=None, relay_port=None,):
         self.vm = vm
         self.incarnation = incarnation
         self.zone = zone
@@ -59,7 +59,7 @@
         self.cores = cores
         self.busy = busy
         self.silent_ms = silent_ms
-        self.relays = relays
+        self.relay_port = relay_port
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -121,8 +121,8 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
-                if ftype == TType.STRING:
-                    self.relays = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I32:
+                    self.relay_port = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -175,9 +175,9 @@
             oprot.writeFieldBegin('silent_ms', TType.I32, 10)
             oprot.writeI32(self.silent_ms)
             oprot.writeFieldEnd()
-        if self.relays is not None:
-            oprot.writeFieldBegin('relays', TType.STRING, 11)
-            oprot.writeString(self.relays.encode('utf-8') if sys.version_info[0] == 2 else self.relays)
+        if self.relay_port is not None:
+            oprot.writeFieldBegin('relay_port', TType.I32, 11)
+            oprot.writeI32(self.relay_port)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1581,7 +1581,7 @@
     (8, TType.I32, 'cores', None, None, ),  # 8
     (9, TType.BYTE, 'busy', None, None, ),  # 9
     (10, TType.I32, 'silent_ms', None, None, ),  # 10
-    (11, TType.STRING, 'relays', 'UTF8', None, ),  # 11
+    (11, TType.I32, 'relay_port', None, None, ),  # 11
 )
 all_structs.append(EndpointState)
 EndpointState.thrift_spec = (
