--- a/packages/fleet/src/teaselledge_fleet/connection/refusing.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/refusing.py
@@ -1,4 +1,4 @@
-"""Refuse requests at a fifth of the price of reading them."""
+"""Refuse requests without the price of reading them."""
 
 import asyncio
 import random
--- a/packages/fleet/src/teaselledge_fleet/process/connectionlimit.py
+++ b/packages/fleet/src/teaselledge_fleet/process/connectionlimit.py
@@ -7,14 +7,16 @@
 __all__ = ["ConnectionLimit"]
 
 LONG_TICKS = 2
-"""Ticks in a row with a long turn before the limit falls. A VM that was paused has one
-such tick, and all the time it needs after it."""
+"""Ticks in a row with a long turn before the limit falls. A VM that was paused has a
+single one."""
 
 LEAST = 20
+"""Connections that are always taken, so that the limit can be learnt again."""
+
 DEEPEST_CUT = 0.3
 GROWTH = 0.03
-"""Part by which the limit grows in each tick without a long turn: it doubles in 2.4 s,
-about as long as a stream lasts."""
+"""Least part of the limit that one tick leaves, and part by which it grows in a tick
+without a long turn."""
 
 UNLIMITED = 4000
 """Beyond this the limit is taken away; descriptors end there too."""
--- a/packages/fleet/src/teaselledge_fleet/process/offloading.py
+++ b/packages/fleet/src/teaselledge_fleet/process/offloading.py
@@ -17,10 +17,7 @@
 ALL_BUSY = 0.75
 """Part of its processor time from which on a router passes all new connections on.
 
-Below it passes on as many as bring it there. The rest of its time is for the requests
-it has, and for passing on: that takes a quarter of the time of serving, since a stream
-has some twenty events, each of which is read, split and written again where it is
-served.
+The rest is for the requests that it has and for passing on.
 """
 
 REMEMBERED_SECONDS = 0.1
@@ -28,9 +25,11 @@
 are each 0.25 to 0.4 s."""
 
 KEPT_SECONDS = 10.0
-"""Time for which the last candidates are kept where none is left. A crowded router
-reads the messages of others late, and all of them look silent to it just when it needs
-them. One that has really gone costs a try to connect."""
+"""Time for which the last candidates are kept where none is left.
+
+A crowded router reads the messages of others late, and all of them look silent to it
+just when it needs them. One that has really gone costs a try to connect.
+"""
 
 LOG_SECONDS = 1.0
 
@@ -48,8 +47,7 @@
 
     All callers of an organisation in a zone may connect to one router, whichever
     addresses they are told. It can't serve them alone, and refused here they would come
-    back here, while its neighbours have time. Passing connections on makes the zone
-    serve what comes to any of its routers.
+    back here, while its neighbours have time.
 
     Parameters
     ----------
