Failing test: what engines give beyond the promise goes to whoever comes most often

The fair level is worked out from the promise, 0.36 to 0.58 million in 4 s. Both large organisations are over it: nyhu882 with 0.60 to 0.84 million, and xacu930 with three times what nyhu882 gets. Both may wait 0.15 of the objective, and xacu930 sends more requests. Ruled out: views that lack sources (every router of zrh-a has the same use, level and sum within 2 in 100), shared parts (both ask for the same kinds).

--- a/packages/fleet/tests/test_placing.py
+++ b/packages/fleet/tests/test_placing.py
@@ -134,6 +134,27 @@
     assert isinstance(await placed(desk, desk.context(owner="cellar")), str)
 
 
+async def test_what_engines_give_beyond_the_promise_is_shared_too():
+    """Engines give more than is promised, and two organisations are over their share.
+
+    What is left then went to whoever came most often: one got 2.1 million tokens, and
+    another one that asked for more than that was refused and got 0.7 million.
+    """
+    desk = Desk()
+    desk.placer.shares.promise(100_000)
+    uses = {
+        "flood": Use(3_000_000, 1_200_000),
+        "other": Use(1_500_000, 400_000),
+        "cellar": Use(300_000, 300_000),
+    }
+    desk.placer.shares.hear("r2", {key_of(name): use for name, use in uses.items()})
+    desk.placer.work.hear("r2", {key_of(e.id): Work(5, 0.07) for e in ENGINES})
+    flood = await placed(desk, desk.context(owner="flood"))
+    assert not isinstance(flood, str)
+    assert flood.kind is FaultKind.OVER_SHARE
+    assert isinstance(await placed(desk, desk.context(owner="other")), str)
+
+
 async def test_nobody_is_refused_while_engines_have_room():
     desk = Desk()
     desk.placer.shares.hear("r2", {key_of("flood"): Use(900_000, 500_000)})
