Share what engines give beyond the promise by the same rule

Cause: the fair level is worked out from what the operator promises, 0.8 million tokens a second; engines gave 1.0 to 1.5. Both organisations were over that level and might wait alike, so what is given besides, nearly half of it all, went to whoever sent most requests. Class: a limit that knows only below and above leaves what is above to a race.

Change: a second level is worked out from all that is given. Who is over that one too waits 0.08 of the objective, the others over their share 0.15 as before, so that these find room first. Where no more is given than promised there is one level and nothing changes. The log line of a request that is not placed tells the standing.

Why it holds: of two that are over what is promised, the one that is further ahead finds the engines' queues too long first, until the other has caught up.

--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -24,7 +24,7 @@
 from teaselledge_fleet.process.parts import shared_tokens
 from teaselledge_fleet.process.reading import BUSY_PART
 from teaselledge_fleet.process.results import Results
-from teaselledge_fleet.process.shares import OrganisationShares
+from teaselledge_fleet.process.shares import OrganisationShares, Standing
 from teaselledge_fleet.process.waiting import WaitBounds
 from teaselledge_fleet.process.work import FleetWork, Work, key_of
 from teaselledge_fleet.request.call import Call, Prompt
@@ -199,8 +199,9 @@
         weighed with a copy of it. It must not be the only one that is asked: callers
         would be refused while engines beside it have nothing to do.
         """
-        over = self._shares.over(context.owner, SHARE_MARGIN)
-        bound = self._bounds.most_wait(context.route, context.service, over)
+        standing = self._shares.standing(context.owner, SHARE_MARGIN)
+        over = standing is not Standing.INSIDE
+        bound = self._bounds.most_wait(context.route, context.service, standing)
         asked: set[str] = set()
         best = self._chooser.engines(context, demand)[0]
         while len(asked) < MOST_ASKED:
@@ -224,6 +225,7 @@
             fault=kind.value,
             endpoint=best.endpoint.id,
             asked=len(asked),
+            standing=standing.name.lower(),
             **self._reasons(best),
         )
         return Error(Fault(kind, self._retry_after(context, over)))
--- a/packages/fleet/src/teaselledge_fleet/process/shares.py
+++ b/packages/fleet/src/teaselledge_fleet/process/shares.py
@@ -3,11 +3,12 @@
 from collections import defaultdict, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from enum import IntEnum
 
 from teaselledge_fleet.process.sources import Sources
 from teaselledge_fleet.process.work import key_of
 
-__all__ = ["OrganisationShares", "Use", "fair_level"]
+__all__ = ["OrganisationShares", "Standing", "Use", "fair_level"]
 
 WINDOW_SECONDS = 4.0
 """Time over which use is counted; shares are owed over windows of 4 s."""
@@ -41,6 +42,19 @@
     return float("inf")
 
 
+class Standing(IntEnum):
+    """What an organisation received, against what all ask for."""
+
+    INSIDE = 0
+    """No more than its share of what is promised."""
+
+    OVER = 1
+    """More than that."""
+
+    AHEAD = 2
+    """More than its share of all that engines give, where they give more."""
+
+
 @dataclass(frozen=True)
 class Use:
     """Tokens within the last window.
@@ -100,6 +114,8 @@
         self._names: dict[str, int] = {}
         self._promised = float("inf")
         self._level = float("inf")
+        self._given_level = float("inf")
+        """The same of all that engines give."""
         self._fleet: dict[int, Use] = {}
         self._levelled_at = -SLICE_SECONDS
 
@@ -118,14 +134,23 @@
         """Count a request that is sent to an engine."""
         self._counter(organisation).received += tokens
 
-    def over(self, organisation: str, margin: float) -> bool:
-        """Whether an organisation received more than its fair share by a factor.
+    def standing(self, organisation: str, margin: float) -> Standing:
+        """Return where an organisation stands, with so much of a share as margin.
 
-        False while all demands fit.
+        Inside while all demands fit.
         """
         self._refresh()
         use = self._fleet.get(self._key(organisation), Use())
-        return use.received > self._level * margin
+        if use.received <= self._level * margin:
+            return Standing.INSIDE
+        more_is_given = self._given_level > self._level
+        if more_is_given and use.received > self._given_level * margin:
+            return Standing.AHEAD
+        return Standing.OVER
+
+    def over(self, organisation: str, margin: float) -> bool:
+        """Whether an organisation received more than its share by a factor."""
+        return self.standing(organisation, margin) is not Standing.INSIDE
 
     def seconds_over(self, organisation: str) -> float:
         """Return when an organisation that receives nothing more is inside its share.
@@ -160,10 +185,11 @@
             fleet[key] += use
         self._fleet = dict(fleet)
         received = sum(use.received for use in fleet.values())
-        # engines that happen to do more than is promised raise nobody's share: who is
-        # over it gets what is left, and the others find room
-        capacity = min(received, self._promised)
-        self._level = fair_level([use.asked for use in fleet.values()], capacity)
+        asked = [use.asked for use in fleet.values()]
+        # engines that happen to do more than is promised raise nobody's share; what
+        # they do beyond it is divided by the same rule
+        self._level = fair_level(asked, min(received, self._promised))
+        self._given_level = fair_level(asked, received)
 
     def _counter(self, organisation: str) -> _Counter:
         key = self._key(organisation)
--- a/packages/fleet/src/teaselledge_fleet/process/waiting.py
+++ b/packages/fleet/src/teaselledge_fleet/process/waiting.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 
+from teaselledge_fleet.process.shares import Standing
 from teaselledge_fleet.version.routes import Route, Routing
 
 __all__ = ["WaitBounds"]
@@ -27,6 +28,20 @@
 """
 
 
+WAIT_PART_AHEAD = 0.08
+"""The same for organisations beyond their fair part of what engines give besides.
+
+Less than the others over their share wait, so that those find room first; more than it
+takes to ask an endpoint's coordinator, so that an idle engine still takes theirs.
+"""
+
+WAIT_PARTS = {
+    Standing.INSIDE: WAIT_PART,
+    Standing.OVER: WAIT_PART_OVER_SHARE,
+    Standing.AHEAD: WAIT_PART_AHEAD,
+}
+
+
 class WaitBounds:
     """Bounds the wait of a request by the kinds of request it competes with.
 
@@ -51,7 +66,7 @@
                 shortest[target.service] = min(known, route.objective)
         self._shortest = shortest
 
-    def most_wait(self, route: Route, service: str, over_share: bool) -> float:
+    def most_wait(self, route: Route, service: str, standing: Standing) -> float:
         """Return the seconds that a request may wait from its arrival.
 
         Parameters
@@ -60,8 +75,8 @@
             Its kind.
         service : str
             Where it goes.
-        over_share : bool
-            Whether its organisation has received more than its fair share.
+        standing : Standing
+            What its organisation received, against what all ask for.
         """
         objective = min(route.objective, self._shortest.get(service, route.objective))
-        return objective * (WAIT_PART_OVER_SHARE if over_share else WAIT_PART)
+        return objective * WAIT_PARTS[standing]
--- a/packages/fleet/tests/test_waiting.py
+++ b/packages/fleet/tests/test_waiting.py
@@ -4,6 +4,7 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
+from teaselledge_fleet.process.shares import Standing
 from teaselledge_fleet.process.waiting import (
     WAIT_PART,
     WAIT_PART_OVER_SHARE,
@@ -41,17 +42,20 @@
 def test_the_shortest_objective_of_a_service_bounds_all_its_prompts():
     """Plain requests and other services queue elsewhere and don't count."""
     for each in (DOSSIER, HEADLINE):
-        assert bounds().most_wait(each, "books", False) == WAIT_PART * 0.8
-    assert bounds().most_wait(OTHER, "letters", False) == WAIT_PART * 0.1
+        assert bounds().most_wait(each, "books", Standing.INSIDE) == WAIT_PART * 0.8
+    assert bounds().most_wait(OTHER, "letters", Standing.INSIDE) == WAIT_PART * 0.1
 
 
 def test_organisations_over_their_share_wait_less():
-    assert bounds().most_wait(DOSSIER, "books", True) == WAIT_PART_OVER_SHARE * 0.8
+    assert (
+        bounds().most_wait(DOSSIER, "books", Standing.OVER)
+        == WAIT_PART_OVER_SHARE * 0.8
+    )
 
 
 def test_an_unknown_service_is_bounded_by_the_own_objective():
     """A split names a service that a newer version has brought."""
-    assert bounds().most_wait(DOSSIER, "new", False) == WAIT_PART * 0.8
+    assert bounds().most_wait(DOSSIER, "new", Standing.INSIDE) == WAIT_PART * 0.8
 
 
 @dataclass
@@ -67,7 +71,7 @@
         """Take a prompt that need not wait too long."""
         self.asked[kind.name] += 1
         wait = max(0.0, self.free_at - now)
-        if wait <= self.bounds.most_wait(kind, "books", False):
+        if wait <= self.bounds.most_wait(kind, "books", Standing.INSIDE):
             self.served[kind.name] += 1
             self.free_at = now + wait + reading
 
