Order what the store held by era and number, as it may come back from an older copy

What callers would see: after the store came back from a copy, an engine that leaves goes on getting requests until the store's numbers pass those known before, and engines that had left get requests again by their old rows.

Cause: entries were ordered by the store's number alone, which is given out again after a restore; the watch of the configuration went on from a number that stands for another moment. No code knew of the header Store-Era.

A row that stands for 6 s after a restore holds in any case (Belief._confirmed). - Pulses and states tell the era. A newer one drops answers of older ones and makes routers wait for missing rows as after an outage; routers write their own rows again. - Sight: `store restored`, `row written`, era in `store lost` and `store regained`, metric store_era.

Ruled out: rows that others' claims rest on. There are none; no grant waits for anything.

--- a/packages/fleet/src/teaselledge_fleet/process/belief.py
+++ b/packages/fleet/src/teaselledge_fleet/process/belief.py
@@ -1,10 +1,14 @@
 """What this router believes of the store's content, and how old that is."""
 
 import asyncio
+import math
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 from teaselledge_fleet.log import get_log
 from teaselledge_fleet.process.endpoints import EndpointView, Entry
+from teaselledge_fleet.process.revision import Revision
+from teaselledge_fleet.process.store import EndpointRows
 from teaselledge_fleet.version.routes import Routing
 
 __all__ = ["Belief"]
@@ -25,6 +29,10 @@
 when the store goes away.
 """
 
+CONFIRM_SECONDS = 6.0
+"""Time after a restore from which on an endpoint's row holds against its later word.
+An endpoint writes again within 2 s, and the row of a silent one lapses after 3.6 s."""
+
 YIELD_SECONDS = 1.0
 """Age up to which another follower's reading shows that it still reads: its period of
 0.7 s and the way of its news."""
@@ -51,6 +59,9 @@
         The same as the operator wrote it, for other routers.
     follower : str
         VM that read the store for what is believed.
+    era : int or None
+        How often the store has gone back to an older copy, by the newest that was
+        heard of; None where nothing was.
     on_change : list of callable
         Called after a change.
     """
@@ -62,10 +73,12 @@
         self.routing: Routing | None = None
         self.configuration = b""
         self.follower = ""
+        self.era: int | None = None
         self.on_change: list[Callable[[], None]] = []
         self._as_of: float | None = None
         self._follower_as_of = 0.0
         self._returned_at: float | None = None
+        self._era_noted_at = -math.inf
         self._fresh_changes: list[Entry] = []
 
     @property
@@ -103,16 +116,34 @@
         self._tell()
         return True
 
-    def take_rows(self, revision: int, entries: Iterable[Entry], as_of: float) -> None:
+    def note_era(self, era: int, source: str) -> bool:
+        """Take the era of the store that somebody tells; False for an older one.
+
+        What is told of an older era may have been undone.
+        """
+        if self.era is not None and era <= self.era:
+            return era == self.era
+        before, self.era = self.era, era
+        # the first era that a router hears of may have begun just now as well
+        self._era_noted_at = self._now()
+        if before is not None:
+            _log.warning("store restored", era=era, before=before, source=source)
+            self._returned_at = self._now()
+            self._tell()
+        return True
+
+    def take_rows(self, rows: EndpointRows, as_of: float) -> None:
         """Take a reading of all entries, made by this router."""
+        if not self.note_era(rows.revision.era, "store"):
+            return
         self._advance(as_of)
-        present = {entry.id: entry for entry in entries}
-        news = list(present.values())
+        present = {entry.id: entry for entry in rows.entries}
+        news = [self._confirmed(entry, rows.revision) for entry in present.values()]
         for entry in self.view:
             if entry.endpoint is not None and entry.id not in present:
                 if self._settling():
                     continue
-                news.append(Entry(entry.id, max(revision, entry.revision + 1), None))
+                news.append(entry.ended(max(rows.revision, entry.revision.next())))
         self._merge(news, "store")
         self._note_follower(self._vm, as_of)
         self._tell()
@@ -121,6 +152,21 @@
         """Take entries that another router tells of."""
         self._merge(entries, source)
 
+    def _confirmed(self, row: Entry, newest: Revision) -> Entry:
+        """Return a row's entry, as a new one if it has stood for long after a restore.
+
+        The row of a restored copy gives way to what its endpoint is known to have said
+        later, but not for ever: that may have been lost with the endpoint.
+        """
+        known = self.view.entry(row.id)
+        if known is None or row.revision < known.revision:
+            return row
+        held_back = known.joined(row).endpoint != row.endpoint
+        if not held_back or self._now() - self._era_noted_at < CONFIRM_SECONDS:
+            return row
+        revision = max(newest, known.revision.next())
+        return replace(row, revision=revision, statement=known.statement.next())
+
     def confirm(self, digest: int, age: float, follower: str) -> None:
         """Take another router's word on how old an equal view is."""
         if digest != self.view.digest:
@@ -165,7 +211,8 @@
             _log.info(
                 "endpoint changed",
                 endpoint=entry.id,
-                revision=entry.revision,
+                revision=entry.revision.number,
+                era=entry.revision.era,
                 source=source,
                 service=endpoint.service if endpoint else None,
                 address=endpoint.address if endpoint else None,
--- a/packages/fleet/src/teaselledge_fleet/process/endpoints.py
+++ b/packages/fleet/src/teaselledge_fleet/process/endpoints.py
@@ -1,11 +1,33 @@
 """What this router believes of the endpoints: their entries, newest first."""
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import xxhash
 
-__all__ = ["Endpoint", "EndpointView", "Entry"]
+from teaselledge_fleet.process.revision import Revision
+
+__all__ = ["Endpoint", "EndpointView", "Entry", "Statement"]
+
+
+@dataclass(frozen=True, order=True)
+class Statement:
+    """Place of a statement among all that an endpoint says of itself.
+
+    Attributes
+    ----------
+    born : int
+        Unix time of its start in milliseconds; 0 where it is not told.
+    sequence : int
+        Its count of statements since then; 0 where it is not told.
+    """
+
+    born: int = 0
+    sequence: int = 0
+
+    def next(self) -> "Statement":
+        """Return the place of the statement that follows."""
+        return Statement(self.born, self.sequence + 1)
 
 
 @dataclass(frozen=True)
@@ -30,6 +52,8 @@
         How much longer it is slow after its start.
     born : int
         Unix time of its start in milliseconds; 0 where it is not told.
+    sequence : int
+        Its count of statements since then; 0 where it is not told.
     """
 
     id: str
@@ -40,6 +64,12 @@
     leaving: bool = False
     cold_seconds: float = field(default=0.0, compare=False)
     born: int = 0
+    sequence: int = field(default=0, compare=False)
+
+    @property
+    def statement(self) -> Statement:
+        """Which of its statements this is."""
+        return Statement(self.born, self.sequence)
 
 
 @dataclass(frozen=True)
@@ -50,22 +80,60 @@
     ----------
     id : str
         Of the endpoint.
-    revision : int
+    revision : Revision
         The store's revision of this state.
     endpoint : Endpoint or None
         None where the entry is gone.
+    statement : Statement
+        The endpoint's own count up to which this state is known to hold.
     """
 
     id: str
-    revision: int
+    revision: Revision
     endpoint: Endpoint | None
+    statement: Statement = Statement()
+
+    @classmethod
+    def of_row(
+        cls, name: str, revision: Revision, endpoint: Endpoint | None
+    ) -> "Entry":
+        """Return the entry that a row stands for."""
+        statement = endpoint.statement if endpoint is not None else Statement()
+        return cls(name, revision, endpoint, statement)
+
+    @property
+    def takes_work(self) -> bool:
+        """Whether the endpoint is there and not leaving."""
+        return self.endpoint is not None and not self.endpoint.leaving
+
+    def ended(self, revision: Revision) -> "Entry":
+        """Return the entry once its row is gone.
+
+        An older copy of the store may hold the row again: it was written by an
+        earlier statement than the one that would follow.
+        """
+        return Entry(self.id, revision, None, self.statement.next())
+
+    def joined(self, other: "Entry") -> "Entry":
+        """Return which of two entries of an endpoint holds.
+
+        Within an era the store's order decides. Across eras it means nothing; what the
+        endpoint said last decides, and that it leaves where both are the same word.
+        """
+        if self.revision.era == other.revision.era:
+            return max(self, other, key=lambda e: (e.revision, e.statement))
+        older, newer = sorted((self, other), key=lambda e: e.revision)
+        held = older.statement, not older.takes_work
+        if held > (newer.statement, not newer.takes_work):
+            return replace(older, revision=newer.revision)
+        return newer
 
 
 class EndpointView:
     """Entries of all endpoints, merged by revision.
 
     Two views that have seen the same entries are equal, in whatever order the news
-    came, because the store's revisions order all changes.
+    came, because the store's revisions order all changes of an era.
     """
 
     def __init__(self) -> None:
@@ -91,6 +159,10 @@
         entry = self._entries.get(name)
         return entry.endpoint if entry is not None else None
 
+    def entry(self, name: str) -> Entry | None:
+        """Return the entry of an endpoint, also of one that is gone."""
+        return self._entries.get(name)
+
     def of_service(self, service: str) -> list[Endpoint]:
         """Return the endpoints of a service that take new work."""
         return self._by_service.get(service, [])
@@ -100,11 +172,10 @@
         changed = []
         for entry in entries:
             known = self._entries.get(entry.id)
-            if known is not None and known.revision >= entry.revision:
-                continue
-            self._entries[entry.id] = entry
-            if known is None or known.endpoint != entry.endpoint:
-                changed.append(entry)
+            held = entry if known is None else known.joined(entry)
+            self._entries[entry.id] = held
+            if known is None or known.endpoint != held.endpoint:
+                changed.append(held)
         if changed:
             self._index()
         return changed
--- a/packages/fleet/src/teaselledge_fleet/process/following.py
+++ b/packages/fleet/src/teaselledge_fleet/process/following.py
@@ -5,6 +5,7 @@
 
 from teaselledge_fleet.log import get_log
 from teaselledge_fleet.process.belief import Belief
+from teaselledge_fleet.process.revision import Revision
 from teaselledge_fleet.process.store import StateStore, StoreFault
 
 __all__ = ["StoreFollower"]
@@ -72,7 +73,7 @@
         self._store = store
         self._belief = belief
         self._asks_seeds = asks_seeds
-        self._revision = 0
+        self._revision: Revision | None = None
         self._pause = FIRST_PAUSE
         self._reachable: bool | None = None
         self.calls = 0
@@ -118,8 +119,7 @@
             self._note_failure(read.error)
             return False
         self._note_success()
-        rows = read.ok
-        self._belief.take_rows(rows.revision, rows.entries, started)
+        self._belief.take_rows(read.ok, started)
         return True
 
     async def _read_configuration(self) -> bool:
@@ -130,11 +130,13 @@
             self._note_failure(read.error)
             return False
         found = read.ok
+        if not self._belief.note_era(found.revision.era, "store"):
+            return False
         data = found.data
         if data is not None and not self._belief.take_configuration(data, "store"):
             # the next change, or the next start, reads it again
-            _log.error("configuration can't be read", revision=found.revision)
-        self._revision = max(self._revision, found.revision)
+            _log.error("configuration can't be read", revision=found.revision.number)
+        self._revision = max(self._revision or found.revision, found.revision)
         # an answer that came at once must not lead to a rush of calls
         left = started + PERIOD_SECONDS / 2 - asyncio.get_running_loop().time()
         if found.data is None and left > 0:
@@ -143,10 +145,13 @@
 
     def _note_failure(self, fault: StoreFault) -> None:
         if self._reachable is not False:
-            _log.warning("store lost", fault=fault.value, age=self._belief.age)
+            belief = self._belief
+            _log.warning(
+                "store lost", fault=fault.value, age=belief.age, era=belief.era
+            )
         self._reachable = False
 
     def _note_success(self) -> None:
         if self._reachable is False:
-            _log.info("store regained", age=self._belief.age)
+            _log.info("store regained", age=self._belief.age, era=self._belief.era)
         self._reachable = True
--- a/packages/fleet/src/teaselledge_fleet/process/metrics.py
+++ b/packages/fleet/src/teaselledge_fleet/process/metrics.py
@@ -68,6 +68,9 @@
     "store_age_seconds": Metric(
         "gauge", "s", "Age of what is known of the store, -1 if nothing is known."
     ),
+    "store_era": Metric(
+        "gauge", "era", "Rises each time the store comes back from an older copy."
+    ),
     "store_calls": Metric("counter", "calls", "Calls to the store."),
     "endpoint_connections": Metric(
         "counter", "connections", "Connections opened to endpoints."
--- a/packages/fleet/src/teaselledge_fleet/process/registration.py
+++ b/packages/fleet/src/teaselledge_fleet/process/registration.py
@@ -7,6 +7,7 @@
 from thrift.TSerialization import deserialize, serialize
 
 from teaselledge_fleet.log import get_log
+from teaselledge_fleet.process.belief import Belief
 from teaselledge_fleet.process.members import Member, Members, Report
 from teaselledge_fleet.process.store import StateStore
 from teaselledge_fleet.process.topology import rank
@@ -35,13 +36,16 @@
 
     The rows only help routers to find each other when no seed answers; who is alive
     they tell one another. So the first routers of each zone keep rows, and one that
-    hears nobody. A row that a killed router left behind costs a few datagrams.
+    hears nobody. A row that a killed router left behind costs a few datagrams. A row
+    may be lost when the store goes back to an older copy, and is written again then.
     """
 
-    def __init__(self, store: StateStore, members: Members) -> None:
+    def __init__(self, store: StateStore, members: Members, belief: Belief) -> None:
         self._store = store
         self._members = members
-        self._written = False
+        self._belief = belief
+        self._written_in: int | None = None
+        """Era of the store in which the row was written last."""
 
     async def run(self) -> None:
         """Keep the row, and read all rows while this router is alone."""
@@ -63,10 +67,18 @@
     async def _keep_row(self) -> None:
         """Write the row unless it is written, however long that takes."""
         pause = FIRST_PAUSE
-        while not self._written and not await self._write():
+        while not self._is_written and not await self._write():
             await asyncio.sleep(pause * random.uniform(0.7, 1.3))
             pause = min(LONGEST_PAUSE, 2 * pause)
 
+    @property
+    def _is_written(self) -> bool:
+        return self._written_in is not None and self._written_in == self._era
+
+    @property
+    def _era(self) -> int:
+        return self._belief.era or 0
+
     def _represents_zone(self) -> bool:
         """Whether this router is one of the first of its zone."""
         own = self._members.own
@@ -74,7 +86,7 @@
 
     async def withdraw(self) -> None:
         """Remove the row."""
-        if not self._written:
+        if self._written_in is None:
             return
         try:
             async with asyncio.timeout(WITHDRAW_SECONDS):
@@ -83,10 +95,13 @@
             _log.info("row not removed", vm=self._members.own.vm)
 
     async def _write(self) -> bool:
-        own = self._members.own
+        own, era = self._members.own, self._era
         result = await self._store.put_router(own.vm, serialize(own.to_wire()))
-        self._written = result.is_ok()
-        return self._written
+        if result.is_error():
+            return False
+        _log.info("row written", era=era, before=self._written_in)
+        self._written_in = era
+        return True
 
     async def _read(self) -> None:
         rows = await self._store.routers()
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -132,7 +132,7 @@
         acceptor.has_time = lambda: self._limit.allows(self._front.running)
         asks_seeds = bool(settings.seeds) and own.peers not in settings.seeds
         self._follower = StoreFollower(place.vm, store, self._belief, asks_seeds)
-        self._registration = Registration(store, self._members)
+        self._registration = Registration(store, self._members, self._belief)
         self._socket = PeerSocket()
         admission = Admission()
         coordinators = Coordinators(self._members)
@@ -307,6 +307,7 @@
         metrics.set_total("connections_refused", self._front.acceptor.refused)
         metrics.set("version", self._belief.version)
         metrics.set("store_age_seconds", -1.0 if age is None else age)
+        metrics.set("store_era", self._belief.era or 0)
         metrics.set("routers_answering", len(self._members.answering))
         metrics.set("routers_advertised", len(self._members.ready))
         metrics.set_total("store_calls", self._follower.calls)
--- a/packages/fleet/src/teaselledge_fleet/process/spreading.py
+++ b/packages/fleet/src/teaselledge_fleet/process/spreading.py
@@ -32,13 +32,14 @@
 from teaselledge_fleet.process.asking import Socket
 from teaselledge_fleet.process.belief import Belief
 from teaselledge_fleet.process.coordinators import Coordinators
-from teaselledge_fleet.process.endpoints import Endpoint, Entry
+from teaselledge_fleet.process.endpoints import Endpoint, Entry, Statement
 from teaselledge_fleet.process.members import Member, Members, Report
 from teaselledge_fleet.process.relaying import (
     Delivery,
     SeenMessages,
     deliveries,
 )
+from teaselledge_fleet.process.revision import Revision
 from teaselledge_fleet.process.sent import NO_MARK, Figures
 from teaselledge_fleet.process.shares import OrganisationShares
 from teaselledge_fleet.process.stalls import StallDetector
@@ -205,6 +206,7 @@
             _milliseconds(belief.age),
             [_to_wire(entry) for entry in belief.view],
             [report.to_wire() for report in self._members.reports],
+            belief.era,
         )
 
     async def learn_from(self, address: str) -> bool:
@@ -282,6 +284,7 @@
             alive=pack_alive(reports),
             alive_ages=pack_ages(reports),
             admitting=[member.to_wire() for member in self._admitting(scope)],
+            era=belief.era,
         )
         if alive:
             marks = [self._sums.mark(peer.vm) for peer in alive]
@@ -360,9 +363,10 @@
         self._coordinators.hear([Member.from_wire(m) for m in pulse.admitting or ()])
         belief = self._belief
         known_at = belief.as_of
+        current = self._note_era(pulse.era, sender.vm)
         if pulse.changes:
             belief.take_news(map(_from_wire, pulse.changes), sender.vm)
-        if pulse.store_age is not None and pulse.store_age >= 0:
+        if current and pulse.store_age is not None and pulse.store_age >= 0:
             belief.confirm(pulse.digest, pulse.store_age / 1000, pulse.follower or "")
         self._take_alive(sender, pulse)
         if pulse.work is not None or pulse.uses is not None:
@@ -376,6 +380,10 @@
         if self._behind(pulse):
             self._fetch(sender)
 
+    def _note_era(self, era: int | None, source: str) -> bool:
+        """Whether a router tells of the store as it is, not before it went back."""
+        return era is None or self._belief.note_era(era, source)
+
     def _pass_on(self, sender: Member, pulse: Pulse) -> bool:
         """Pass a pulse on to those for whom it is; False where it came before."""
         if not self._passed.add(sender.incarnation, pulse.sequence or 0):
@@ -472,10 +480,11 @@
     def _take_state(self, state: WholeState) -> None:
         belief = self._belief
         vm = state.sender.vm
+        current = self._note_era(state.era, vm)
         if state.configuration and (state.version or 0) > belief.version:
             belief.take_configuration(state.configuration, vm)
         belief.take_news(map(_from_wire, state.endpoints or ()), vm)
-        if state.store_age is not None and state.store_age >= 0:
+        if current and state.store_age is not None and state.store_age >= 0:
             belief.confirm(state.digest, state.store_age / 1000, vm)
         self._members.learn(Report(Member.from_wire(state.sender), 0.0))
         for info in state.routers or ():
@@ -488,25 +497,29 @@
 
 
 def _to_wire(entry: Entry) -> EndpointState:
-    endpoint = entry.endpoint
-    if endpoint is None:
-        return EndpointState(entry.id, entry.revision, True)
-    return EndpointState(
+    endpoint, revision, statement = entry.endpoint, entry.revision, entry.statement
+    state = EndpointState(
         entry.id,
-        entry.revision,
-        False,
-        endpoint.service,
-        endpoint.address,
-        endpoint.zone,
-        endpoint.slots,
-        endpoint.leaving,
-        endpoint.born,
+        revision.number,
+        endpoint is None,
+        born=statement.born,
+        era=revision.era,
+        sequence=statement.sequence,
     )
+    if endpoint is not None:
+        state.service_name = endpoint.service
+        state.address = endpoint.address
+        state.zone = endpoint.zone
+        state.slots = endpoint.slots
+        state.leaving = endpoint.leaving
+    return state
 
 
 def _from_wire(state: EndpointState) -> Entry:
+    revision = Revision(state.era or 0, state.revision)
+    statement = Statement(state.born or 0, state.sequence or 0)
     if state.gone:
-        return Entry(state.id, state.revision, None)
+        return Entry(state.id, revision, None, statement)
     endpoint = Endpoint(
         state.id,
         state.service_name or "",
@@ -514,7 +527,7 @@
         state.zone or "",
         state.slots or 1,
         bool(state.leaving),
-        0.0,
-        state.born or 0,
+        born=statement.born,
+        sequence=statement.sequence,
     )
-    return Entry(state.id, state.revision, endpoint)
+    return Entry(state.id, revision, endpoint, statement)
--- a/packages/fleet/src/teaselledge_fleet/process/store.py
+++ b/packages/fleet/src/teaselledge_fleet/process/store.py
@@ -7,6 +7,7 @@
 from expression import Result
 
 from teaselledge_fleet.process.endpoints import Entry
+from teaselledge_fleet.process.revision import Revision
 
 __all__ = [
     "EndpointRows",
@@ -28,6 +29,9 @@
     MALFORMED = "malformed"
     """The answer can't be read."""
 
+    RESTORED = "restored"
+    """The store went back to an older copy while it was read."""
+
 
 @dataclass(frozen=True)
 class EndpointRows:
@@ -35,13 +39,13 @@
 
     Attributes
     ----------
-    revision : int
+    revision : Revision
         The store's newest revision at that moment.
     entries : tuple of Entry
         One for each row; None as endpoint where the row can't be used.
     """
 
-    revision: int
+    revision: Revision
     entries: tuple[Entry, ...]
 
 
@@ -51,13 +55,13 @@
 
     Attributes
     ----------
-    revision : int
+    revision : Revision
         The store's revision up to which nothing newer exists.
     data : bytes or None
         The content; None where it did not change since the revision asked for.
     """
 
-    revision: int
+    revision: Revision
     data: bytes | None
 
 
@@ -68,14 +72,15 @@
         """Read the entries of all endpoints."""
 
     async def configuration(
-        self, after: int, wait: float
+        self, after: Revision | None, wait: float
     ) -> Result[StoredConfiguration, StoreFault]:
         """Read the configuration if it changed after a revision.
 
         Parameters
         ----------
-        after : int
-            Revision of an earlier answer; 0 reads in any case.
+        after : Revision or None
+            Of an earlier answer. It is read in any case without one, and where the
+            store has been restored since.
         wait : float
             Seconds to wait for a change.
         """
--- a/packages/fleet/tests/test_belief.py
+++ b/packages/fleet/tests/test_belief.py
@@ -4,6 +4,8 @@
 
 from teaselledge_fleet.process.belief import SETTLE_SECONDS, Belief
 from teaselledge_fleet.process.endpoints import Endpoint, Entry
+from teaselledge_fleet.process.revision import Revision
+from teaselledge_fleet.process.store import EndpointRows
 from teaselledge_standins.statestore import decode_number
 
 VIRTUAL_CLOCK = True
@@ -11,7 +13,11 @@
 
 def entry(name: str, revision: int, leaving: bool = False) -> Entry:
     endpoint = Endpoint(name, "books", f"127.0.0.1:{revision}", "north", 4, leaving)
-    return Entry(name, revision, endpoint)
+    return Entry(name, Revision(0, revision), endpoint)
+
+
+def rows(revision: int, *entries: Entry) -> EndpointRows:
+    return EndpointRows(Revision(0, revision), entries)
 
 
 def now() -> float:
@@ -39,9 +45,9 @@
     It must get no new work within seconds of that.
     """
     belief = Belief("r1", decode_number)
-    belief.take_rows(5, [entry("e1", 4), entry("e2", 5)], now())
+    belief.take_rows(rows(5, entry("e1", 4), entry("e2", 5)), now())
     await asyncio.sleep(0.7)
-    belief.take_rows(9, [entry("e1", 4)], now())
+    belief.take_rows(rows(9, entry("e1", 4)), now())
     assert [e.id for e in belief.view.of_service("books")] == ["e1"]
 
 
@@ -52,20 +58,20 @@
     look gone, and every request would be refused.
     """
     belief = Belief("r1", decode_number)
-    belief.take_rows(5, [entry("e1", 4), entry("e2", 5)], now())
+    belief.take_rows(rows(5, entry("e1", 4), entry("e2", 5)), now())
     await asyncio.sleep(6.0)
-    belief.take_rows(9, [], now())
+    belief.take_rows(rows(9), now())
     assert len(belief.view.of_service("books")) == 2
     end = now() + SETTLE_SECONDS
     while now() < end:
         await asyncio.sleep(0.7)
-        belief.take_rows(11, [entry("e1", 11)], now())
+        belief.take_rows(rows(11, entry("e1", 11)), now())
     assert [e.id for e in belief.view.of_service("books")] == ["e1"]
 
 
 async def test_a_leaving_endpoint_gets_no_work_while_the_store_is_away():
     belief = Belief("r1", decode_number)
-    belief.take_rows(5, [entry("e1", 4), entry("e2", 5)], now())
+    belief.take_rows(rows(5, entry("e1", 4), entry("e2", 5)), now())
     belief.take_news([entry("e2", 8, leaving=True)], "r2")
     await asyncio.sleep(20.0)
     assert [e.id for e in belief.view.of_service("books")] == ["e1"]
@@ -73,8 +79,8 @@
 
 async def test_old_news_does_not_revive_an_endpoint():
     belief = Belief("r1", decode_number)
-    belief.take_rows(5, [entry("e1", 4)], now())
-    belief.take_rows(9, [], now())
+    belief.take_rows(rows(5, entry("e1", 4)), now())
+    belief.take_rows(rows(9), now())
     belief.take_news([entry("e1", 4)], "r2")
     assert not belief.view.of_service("books")
 
@@ -90,7 +96,7 @@
 
 async def test_age_is_adopted_for_an_equal_view_only():
     belief = Belief("r1", decode_number)
-    belief.take_rows(5, [entry("e1", 4)], now())
+    belief.take_rows(rows(5, entry("e1", 4)), now())
     await asyncio.sleep(2.0)
     belief.confirm(belief.view.digest + 1, 0.1, "r2")
     assert belief.age == 2.0
@@ -102,7 +108,7 @@
     """Two routers read the store at the same time, and each hears the other."""
     for vm, other, follower in (("r1", "r2", "r1"), ("r2", "r1", "r1")):
         belief = Belief(vm, decode_number)
-        belief.take_rows(5, [entry("e1", 4)], now())
+        belief.take_rows(rows(5, entry("e1", 4)), now())
         await asyncio.sleep(0.5)
         belief.confirm(belief.view.digest, 0.1, other)
         assert belief.follower == follower
--- a/packages/fleet/tests/test_placing.py
+++ b/packages/fleet/tests/test_placing.py
@@ -8,6 +8,7 @@
 from teaselledge_fleet.process.endpoints import Endpoint, EndpointView, Entry
 from teaselledge_fleet.process.parts import ranked
 from teaselledge_fleet.process.placing import FleetPlacer
+from teaselledge_fleet.process.revision import Revision
 from teaselledge_fleet.process.shares import Use
 from teaselledge_fleet.process.work import Work, key_of
 from teaselledge_fleet.request.call import Call, Prompt, PromptPart
@@ -32,7 +33,7 @@
     asked: int = 0
 
     def __post_init__(self) -> None:
-        self.view.merge(Entry(e.id, 1, e) for e in ENGINES)
+        self.view.merge(Entry(e.id, Revision(0, 1), e) for e in ENGINES)
         self.placer = FleetPlacer(self.view, "north", ZONES)
 
     def context(self, part: str = "p1", shared: int = 13_000, own: int = 3_700, **more):
@@ -82,7 +83,7 @@
     desk = Desk()
     home = ranked("p1", ENGINES)[0].id
     other = ranked("p1", ENGINES)[1].id
-    desk.view.merge([Entry(other, 2, None)])
+    desk.view.merge([Entry(other, Revision(0, 2), None)])
     assert await placed(desk, desk.context("p1")) == home
 
 
--- a/packages/standins/src/teaselledge_standins/spreadfleet.py
+++ b/packages/standins/src/teaselledge_standins/spreadfleet.py
@@ -173,7 +173,7 @@
         follower = StoreFollower(vm, client, belief, address not in seeds)
         placer.ask_with(asking.ask)
         placer.locate_with(PartLocator(members, link, coordinators))
-        registration = Registration(client, members)
+        registration = Registration(client, members, belief)
         router = SpreadRouter(
             vm,
             members,
--- a/packages/standins/src/teaselledge_standins/statestore.py
+++ b/packages/standins/src/teaselledge_standins/statestore.py
@@ -6,6 +6,7 @@
 
 from expression import Error, Ok, Result
 from teaselledge_fleet.process.endpoints import Endpoint, Entry
+from teaselledge_fleet.process.revision import Revision
 from teaselledge_fleet.process.store import (
     EndpointRows,
     StoredConfiguration,
@@ -13,11 +14,36 @@
 )
 from teaselledge_fleet.version.routes import Routing
 
-__all__ = ["MemoryStateStore", "StoreClient", "decode_number", "store_of"]
+__all__ = [
+    "MemoryStateStore",
+    "StoreClient",
+    "StoreCopy",
+    "decode_number",
+    "store_of",
+]
 
 POLL_SECONDS = 0.02
 
 
+@dataclass(frozen=True)
+class EndpointRow:
+    """What an endpoint wrote, and the store's number of it."""
+
+    number: int
+    endpoint: Endpoint
+
+
+@dataclass(frozen=True)
+class StoreCopy:
+    """The rows at some moment."""
+
+    revision: int
+    entries: dict[str, EndpointRow]
+    data: bytes | None
+    data_revision: int
+    router_rows: dict[str, bytes]
+
+
 @dataclass
 class MemoryStateStore:
     """Rows and a revision counter.
@@ -30,27 +56,53 @@
         VMs whose calls get no answer; ``*`` stands for all.
     calls : int
         Calls so far, unanswered ones included.
+    era : int
+        Rises with each restore.
     """
 
     delay: float = 0.01
     away: set[str] = field(default_factory=set)
     calls: int = 0
     revision: int = 0
-    entries: dict[str, Entry] = field(default_factory=dict)
+    entries: dict[str, EndpointRow] = field(default_factory=dict)
     data: bytes | None = None
     data_revision: int = 0
     router_rows: dict[str, bytes] = field(default_factory=dict)
+    era: int = 1
+
+    @property
+    def newest(self) -> Revision:
+        """The revision of the latest change."""
+        return Revision(self.era, self.revision)
 
     def put(self, endpoint: Endpoint) -> None:
         """Write an endpoint's entry."""
         self.revision += 1
-        self.entries[endpoint.id] = Entry(endpoint.id, self.revision, endpoint)
+        self.entries[endpoint.id] = EndpointRow(self.revision, endpoint)
 
     def drop(self, name: str) -> None:
         """Remove an endpoint's entry."""
         self.revision += 1
         self.entries.pop(name, None)
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the rows, to be restored later."""
+        return StoreCopy(
+            self.revision,
+            dict(self.entries),
+            self.data,
+            self.data_revision,
+            dict(self.router_rows),
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy; what was written since is gone."""
+        self.era += 1
+        self.revision = copy.revision
+        self.entries = dict(copy.entries)
+        self.data, self.data_revision = copy.data, copy.data_revision
+        self.router_rows = dict(copy.router_rows)
+
     def configure(self, data: bytes) -> None:
         """Write the configuration."""
         self.revision += 1
@@ -66,24 +118,28 @@
 
     async def endpoints(self) -> Result[EndpointRows, StoreFault]:
         """Read the entries of all endpoints."""
-        if not await self._reach():
-            return Error(StoreFault.UNREACHABLE)
         store = self._store
-        return Ok(EndpointRows(store.revision, tuple(store.entries.values())))
+        entries = [
+            Entry.of_row(name, Revision(store.era, row.number), row.endpoint)
+            for name, row in store.entries.items()
+        ]
+        rows = EndpointRows(store.newest, tuple(entries))
+        # a store that is slow answers with what it held when it was asked
+        return Ok(rows) if await self._reach() else Error(StoreFault.UNREACHABLE)
 
     async def configuration(
-        self, after: int, wait: float
+        self, after: Revision | None, wait: float
     ) -> Result[StoredConfiguration, StoreFault]:
         """Read the configuration if it changed after a revision."""
         if not await self._reach():
             return Error(StoreFault.UNREACHABLE)
         store = self._store
         end = asyncio.get_running_loop().time() + wait
-        while store.data_revision <= after:
+        while after is not None and after >= Revision(store.era, store.data_revision):
             if asyncio.get_running_loop().time() >= end:
-                return Ok(StoredConfiguration(store.revision, None))
+                return Ok(StoredConfiguration(store.newest, None))
             await asyncio.sleep(POLL_SECONDS)
-        return Ok(StoredConfiguration(store.revision, store.data))
+        return Ok(StoredConfiguration(store.newest, store.data))
 
     async def routers(self) -> Result[dict[str, bytes], StoreFault]:
         """Read what routers wrote of themselves."""
--- a/packages/wire/fleet.thrift
+++ b/packages/wire/fleet.thrift
@@ -20,7 +20,9 @@
   11: optional i32 relay_port,
 }
 
-// An endpoint's entry as of a revision of the store.
+// An endpoint's entry as of a revision of the store. The store's eras begin when it is
+// restored from a copy; sequence and born tell which of the endpoint's own statements
+// this is, also where it is gone.
 struct EndpointState {
   1: string id,
   2: i64 revision,
@@ -31,6 +33,8 @@
   7: optional i32 slots,
   8: optional bool leaving,
   9: optional i64 born,
+  10: optional i32 era,
+  11: optional i64 sequence,
 }
 
 // Sent a few times a second. Ages are in milliseconds, -1 where unknown.
@@ -63,6 +67,8 @@
   17: optional list<i32> pass_to,
   // how many routers have passed it on already
   18: optional i8 hops,
+  // newest era of the store that the sender knows of
+  19: optional i32 era,
 }
 
 // Everything, for a router that knows less.
@@ -75,6 +81,7 @@
   6: i32 store_age,
   7: list<EndpointState> endpoints,
   8: list<RouterInfo> routers,
+  9: optional i32 era,
 }
 
 // Sent some times a second to each router that admits for endpoints at which the
--- a/packages/wire/src/teaselledge_wire/gen/fleet/ttypes.py
+++ b/packages/wire/src/teaselledge_wire/gen/fleet/ttypes.py
@@ -216,6 +216,8 @@
      - slots
      - leaving
      - born
+     - era
+     - sequence
 
     """
 
@@ -229,10 +231,12 @@
         'slots',
         'leaving',
         'born',
+        'era',
+        'sequence',
     )
 
 
-    def __init__(self, id=None, revision=None, gone=None, service_name=None, address=None, zone=None, slots=None, leaving=None, born=None,):
+    def __init__(self, id=None, revision=None, gone=None, service_name=None, address=None, zone=None, slots=None, leaving=None, born=None, era=None, sequence=None,):
         self.id = id
         self.revision = revision
         self.gone = gone
@@ -242,6 +246,8 @@
         self.slots = slots
         self.leaving = leaving
         self.born = born
+        self.era = era
+        self.sequence = sequence
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -297,6 +303,16 @@
                     self.born = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.era = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -343,6 +359,14 @@
             oprot.writeFieldBegin('born', TType.I64, 9)
             oprot.writeI64(self.born)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I32, 10)
+            oprot.writeI32(self.era)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 11)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -389,6 +413,7 @@
      - alive_marks
      - pass_to
      - hops
+     - era
 
     """
 
@@ -411,10 +436,11 @@
         'alive_marks',
         'pass_to',
         'hops',
+        'era',
     )
 
 
-    def __init__(self, protocol=None, sender=None, sequence=None, version=None, digest=None, store_age=None, follower=None, changes=None, scope=None, work=None, uses=None, others=None, alive=None, admitting=None, alive_ages=None, alive_marks=None, pass_to=None, hops=None,):
+    def __init__(self, protocol=None, sender=None, sequence=None, version=None, digest=None, store_age=None, follower=None, changes=None, scope=None, work=None, uses=None, others=None, alive=None, admitting=None, alive_ages=None, alive_marks=None, pass_to=None, hops=None, era=None,):
         self.protocol = protocol
         self.sender = sender
         self.sequence = sequence
@@ -433,6 +459,7 @@
         self.alive_marks = alive_marks
         self.pass_to = pass_to
         self.hops = hops
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -557,6 +584,11 @@
                     self.hops = iprot.readByte()
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.I32:
+                    self.era = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -651,6 +683,10 @@
             oprot.writeFieldBegin('hops', TType.BYTE, 18)
             oprot.writeByte(self.hops)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I32, 19)
+            oprot.writeI32(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -687,6 +723,7 @@
      - store_age
      - endpoints
      - routers
+     - era
 
     """
 
@@ -699,10 +736,11 @@
         'store_age',
         'endpoints',
         'routers',
+        'era',
     )
 
 
-    def __init__(self, protocol=None, sender=None, version=None, configuration=None, digest=None, store_age=None, endpoints=None, routers=None,):
+    def __init__(self, protocol=None, sender=None, version=None, configuration=None, digest=None, store_age=None, endpoints=None, routers=None, era=None,):
         self.protocol = protocol
         self.sender = sender
         self.version = version
@@ -711,6 +749,7 @@
         self.store_age = store_age
         self.endpoints = endpoints
         self.routers = routers
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -774,6 +813,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.era = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -822,6 +866,10 @@
                 iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I32, 9)
+            oprot.writeI32(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1639,6 +1687,8 @@
     (7, TType.I32, 'slots', None, None, ),  # 7
     (8, TType.BOOL, 'leaving', None, None, ),  # 8
     (9, TType.I64, 'born', None, None, ),  # 9
+    (10, TType.I32, 'era', None, None, ),  # 10
+    (11, TType.I64, 'sequence', None, None, ),  # 11
 )
 all_structs.append(Pulse)
 Pulse.thrift_spec = (
@@ -1661,6 +1711,7 @@
     (16, TType.STRING, 'alive_marks', 'BINARY', None, ),  # 16
     (17, TType.LIST, 'pass_to', (TType.I32, None, False), None, ),  # 17
     (18, TType.BYTE, 'hops', None, None, ),  # 18
+    (19, TType.I32, 'era', None, None, ),  # 19
 )
 all_structs.append(WholeState)
 WholeState.thrift_spec = (
@@ -1673,6 +1724,7 @@
     (6, TType.I32, 'store_age', None, None, ),  # 6
     (7, TType.LIST, 'endpoints', (TType.STRUCT, [EndpointState, None], False), None, ),  # 7
     (8, TType.LIST, 'routers', (TType.STRUCT, [RouterInfo, None], False), None, ),  # 8
+    (9, TType.I32, 'era', None, None, ),  # 9
 )
 all_structs.append(WorkReport)
 WorkReport.thrift_spec = (
