Failing test: a flooded router leaves most of its time unused

Nearly all of its callers in zadar-a connect to one router, which refused 660 connections a second.

Cause: the limit of connections is cut by up to 0.3 in each tick of 0.1 s with a long turn, while what runs already ends after 1.5 s. The turns stay long whatever is refused, so it is cut three times for one reason, down to 20, and grows by 3 % a tick from there: 10 s until it is back.

Class: control with a delay.

--- a/packages/fleet/tests/test_connectionlimit.py
+++ b/packages/fleet/tests/test_connectionlimit.py
@@ -1,6 +1,7 @@
 """Tests of how many connections a router takes."""
 
 import math
+from collections import deque
 
 from teaselledge_fleet.process.busyness import LONG_TURN_SECONDS
 from teaselledge_fleet.process.connectionlimit import LEAST, ConnectionLimit
@@ -69,3 +70,56 @@
     assert turn < 3 * LONG_TURN_SECONDS
     # a router can serve 500 a second; refusing the others takes a part of its time
     assert served > 125
+
+
+class FloodedRouter:
+    """A router that passes connections on, each of which lasts for a while.
+
+    What it takes too much of ends late: its turns are long until then, whatever it
+    refuses.
+    """
+
+    TICK_SECONDS = 0.1
+    LASTING_TICKS = 15
+    TIME = 0.5
+    """Processor time that it has a second."""
+    TAKING, PASSING, REFUSING = 0.0005, 0.0005, 0.0003
+    """Seconds that it takes to take over a connection, pass it on to its end, or refuse
+    it."""
+
+    def __init__(self) -> None:
+        self.limit = ConnectionLimit()
+        self._ending = deque([0] * self.LASTING_TICKS)
+        self._backlog = 0.0
+
+    def play(self, arrivals: float, seconds: float) -> list[int]:
+        """Return the connections taken in each tick."""
+        return [
+            self._tick(round(arrivals * self.TICK_SECONDS))
+            for _ in range(round(seconds / self.TICK_SECONDS))
+        ]
+
+    def _tick(self, arrivals: int) -> int:
+        self._ending.popleft()
+        running = sum(self._ending)
+        taken = 0
+        while taken < arrivals and self.limit.allows(running + taken):
+            taken += 1
+        self._ending.append(taken)
+        work = taken * self.TAKING + (arrivals - taken) * self.REFUSING
+        work += running * self.PASSING / self.LASTING_TICKS
+        left = self._backlog + work - self.TIME * self.TICK_SECONDS
+        self._backlog = max(0.0, left)
+        self.limit.note(0.01 + self._backlog / self.TIME, running + taken)
+        return taken
+
+
+def test_flooded_router_uses_the_time_that_it_has():
+    """A limit that is cut again before the cut shows leaves time and callers unused."""
+    router = FloodedRouter()
+    router.play(arrivals=50, seconds=5)
+    taken = router.play(arrivals=850, seconds=18)
+    # it can take 350 a second and refuse the others
+    most = (router.TIME - 850 * router.REFUSING) / 0.0007
+    assert sum(taken[:60]) >= 6 * most / 2, sum(taken[:60])
+    assert sum(taken[60:]) >= 12 * most * 0.7, sum(taken[60:])
