Stop taking connections when the event loop always has work, not when its turns are long

Cause: turns get long only once work waits, and what a connection costs comes in the 1.5 s that it lasts. By then a router has taken twice what it has time for.

Change: the limit stops at what runs in the first two ticks in which the loop always has work (Busyness.loop_used: time at work by the wall, so that it is 1 under a quota and on a slow core alike), and grows with the time that is left. Fewer than 50 connections are not what uses a router up: a configuration that is read keeps it at work as well.

`connections limited` and `not limited` are warnings now: no such line of the crowded router was in its log, as ordinary ones give way there.

--- a/packages/fleet/src/teaselledge_fleet/process/busyness.py
+++ b/packages/fleet/src/teaselledge_fleet/process/busyness.py
@@ -115,6 +115,7 @@
         # one process runs on one core at most
         self._cores = min(1.0, max(0.01, cores))
         self._used = 0.0
+        self._loop_used = 0.0
         self._lag = 0.0
         self._late_until = 0.0
         self.on_tick: Callable[[], None] = lambda: None
@@ -143,6 +144,15 @@
         """Part of the processor time that is used, from 0 to 1."""
         return min(1.0, max(self._used, self._lag / LAG_SECONDS))
 
+    @property
+    def loop_used(self) -> float:
+        """Part of the last tick in which the event loop had work, from 0 to 1.
+
+        It is 1 where more is asked of the router than it has time for, however its
+        processor time is taken away.
+        """
+        return self._loop_used
+
     @property
     def crowded(self) -> float:
         """Part of the connections that callers should move elsewhere, 0 to 1."""
@@ -172,6 +182,7 @@
             self.on_tick()
 
     def _note(self, elapsed: float, spent: float) -> None:
-        part = min(1.0, spent / elapsed / self._cores)
+        self._loop_used = min(1.0, spent / elapsed)
+        part = min(1.0, self._loop_used / self._cores)
         self._used += WEIGHT * (part - self._used)
         self._lag += WEIGHT * (elapsed - TICK_SECONDS - self._lag)
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -220,12 +220,13 @@
     def _note_load(self) -> None:
         """Tell how busy this router is, and limit its connections by its time."""
         self._members.set_busy(self._busyness.busy)
-        longest = self._busyness.take_longest_turn()
+        longest, used = self._busyness.take_longest_turn(), self._busyness.loop_used
         limited = math.isfinite(self._limit.limit)
-        self._limit.note(longest, self._front.running)
+        self._limit.note(longest, used, self._front.running)
         if limited == math.isfinite(self._limit.limit):
             return
-        _log.info(
+        # a warning, as ordinary lines give way on a crowded router
+        _log.warning(
             "connections not limited" if limited else "connections limited",
             limit=None if limited else round(self._limit.limit),
             running=self._front.running,
--- a/packages/fleet/tests/test_busyness.py
+++ b/packages/fleet/tests/test_busyness.py
@@ -11,6 +11,7 @@
     Busyness,
     new_loop,
 )
+from teaselledge_fleet.process.connectionlimit import USED_UP
 
 TURNS = 20
 """Turns of work at least: where other processes take the machine, a second may be over
@@ -53,6 +54,14 @@
 def test_a_router_that_works_all_the_time_is_busy():
     busyness = on_own_loop(0.05, 0.0)
     assert busyness.busy > 0.3
+    assert busyness.loop_used > USED_UP
+
+
+def test_a_loop_with_time_left_is_not_used_up():
+    """A router with a small part of a core is busy before its loop always has work."""
+    busyness = on_own_loop(0.01, 0.1, cores=0.05)
+    assert busyness.busy > 0.3
+    assert busyness.loop_used < USED_UP
 
 
 def test_a_clock_of_processor_time_that_is_wrong_makes_no_router_busy():
--- a/packages/fleet/tests/test_connectionlimit.py
+++ b/packages/fleet/tests/test_connectionlimit.py
@@ -13,25 +13,25 @@
 def test_router_with_short_turns_takes_every_connection():
     limit = ConnectionLimit()
     for running in range(0, 10_000, 100):
-        limit.note(SHORT, running)
+        limit.note(SHORT, 0.5, running)
         assert limit.allows(running)
 
 
 def test_pause_of_the_whole_vm_limits_nothing():
     """It shows as a single long turn, and the router has time for all that waited."""
     limit = ConnectionLimit()
-    limit.note(5.0, 300)
+    limit.note(5.0, 1.0, 300)
     assert limit.allows(300)
 
 
 def test_limit_falls_with_long_turns_and_comes_back():
     limit = ConnectionLimit()
-    limit.note(LONG, 600)
-    limit.note(LONG, 600)
+    limit.note(LONG, 1.0, 600)
+    limit.note(LONG, 1.0, 600)
     assert LEAST <= limit.limit < 300
     assert not limit.allows(600)
     for _ in range(200):
-        limit.note(SHORT, 100)
+        limit.note(SHORT, 0.5, 100)
     assert math.isinf(limit.limit)
 
 
@@ -61,7 +61,7 @@
             served += ended
             waiting = 0.0
             clock += turn
-            self.limit.note(turn, round(self._running))
+            self.limit.note(turn, 1.0, round(self._running))
         return served / seconds, turn
 
 
@@ -110,10 +110,10 @@
         self._ending.append(taken)
         work = taken * self.TAKING + (arrivals - taken) * self.REFUSING
         work += running * self.PASSING / self.LASTING_TICKS
-        left = self._backlog + work - self.TIME * self.TICK_SECONDS
-        self._backlog = max(0.0, left)
+        asked, time = self._backlog + work, self.TIME * self.TICK_SECONDS
+        self._backlog = max(0.0, asked - time)
         self.turns.append(0.01 + self._backlog / self.TIME)
-        self.limit.note(self.turns[-1], running + taken)
+        self.limit.note(self.turns[-1], min(1.0, asked / time), running + taken)
         return taken
 
 
@@ -126,4 +126,13 @@
     most = (router.TIME - 850 * router.REFUSING) / 0.0007
     assert sum(taken[:60]) >= 6 * most / 2, sum(taken[:60])
     assert sum(taken[60:]) >= 12 * most * 0.7, sum(taken[60:])
-    assert fmean(router.turns[-120:]) < 2 * LONG_TURN_SECONDS
+    # a request takes about five turns, of an objective of 0.8 s
+    assert max(router.turns) < 2 * LONG_TURN_SECONDS
+
+
+def test_router_that_is_used_up_by_something_else_takes_connections():
+    """A large configuration keeps the loop at work for some ticks, at start as well."""
+    limit = ConnectionLimit()
+    for _ in range(5):
+        limit.note(SHORT, 1.0, 10)
+    assert limit.allows(40)
