--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -31,7 +31,8 @@
     Zone,
 )
 from teaselledge_standins.recorder import RecordingMesh
-from teaselledge_wire import decode, encode, pack
+from teaselledge_wire.codec import decode, encode
+from teaselledge_wire.frame import pack
 from teaselledge_wire.gen.router.ttypes import (
     Accept,
     Account,
--- a/packages/fleet/src/teaselledge_fleet/process/metrics.py
+++ b/packages/fleet/src/teaselledge_fleet/process/metrics.py
@@ -1,19 +1,12 @@
-"""Metrics, declared in one table and served as text."""
+"""Metrics, declared in one table and counted."""
 
-from dataclasses import dataclass
+from bisect import bisect_left
+from collections import defaultdict
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
 
-from prometheus_client import (
-    CollectorRegistry,
-    Counter,
-    Gauge,
-    Histogram,
-    disable_created_metrics,
-)
-from prometheus_client.exposition import generate_latest
+__all__ = ["METRICS", "SECONDS", "FleetMetrics", "Metric", "Observations"]
 
-__all__ = ["METRICS", "FleetMetrics", "Metric"]
-
-PREFIX = "teaselledge_"
 SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0)
 """Edges of the histograms: around the objectives of 0.2 to 0.8 s, up to the longest
 deadlines of 10 s."""
@@ -101,51 +94,71 @@
 """All metrics, short ones first: a reader may take no more than a page's beginning."""
 
 
+Labels = tuple[str, ...]
+"""Values of a metric's labels, in their order."""
+
+
+@dataclass
+class Observations:
+    """What a histogram was told.
+
+    Attributes
+    ----------
+    counts : list of int
+        By bucket, of which the last one has no edge.
+    seconds : float
+        Sum of all.
+    """
+
+    counts: list[int] = field(default_factory=lambda: [0] * (len(SECONDS) + 1))
+    seconds: float = 0.0
+
+    def add(self, seconds: float) -> None:
+        """Take one more."""
+        self.counts[bisect_left(SECONDS, seconds)] += 1
+        self.seconds += seconds
+
+    def cumulative(self) -> Iterator[tuple[str, int]]:
+        """Yield the edge of each bucket, and how many are not above it."""
+        total = 0
+        for edge, count in zip([*SECONDS, "+Inf"], self.counts, strict=True):
+            total += count
+            yield str(edge), total
+
+
 class FleetMetrics:
-    """Counts, and writes what was counted as text."""
+    """Counts what `METRICS` declares."""
 
     def __init__(self) -> None:
-        # they double the page's length, and the process tells when it started
-        disable_created_metrics()
-        self._registry = CollectorRegistry()
-        self._counters: dict[str, Counter] = {}
-        self._gauges: dict[str, Gauge] = {}
-        self._histograms: dict[str, Histogram] = {}
-        self._totals: dict[str, float] = {}
+        self._values: dict[str, defaultdict[Labels, float]] = {
+            name: defaultdict(float) for name in METRICS
+        }
         for name, metric in METRICS.items():
-            self._declare(name, metric)
+            if not metric.labels:
+                self._values[name][()] = 0.0
+        self._histograms: defaultdict[str, defaultdict[Labels, Observations]]
+        self._histograms = defaultdict(lambda: defaultdict(Observations))
 
     def count(self, name: str, value: float = 1, **labels: str) -> None:
         """Add to a counter."""
-        family = self._counters[name]
-        (family.labels(**labels) if labels else family).inc(value)
+        self._values[name][_key(name, labels)] += value
 
     def set(self, name: str, value: float) -> None:
-        """Set a gauge."""
-        self._gauges[name].set(value)
-
-    def set_total(self, name: str, total: float) -> None:
-        """Bring a counter to a total that is kept elsewhere."""
-        self.count(name, max(0.0, total - self._totals.get(name, 0.0)))
-        self._totals[name] = total
+        """Set a gauge, or a counter that is kept elsewhere."""
+        self._values[name][()] = value
 
     def observe(self, name: str, seconds: float, **labels: str) -> None:
         """Add to a histogram."""
-        family = self._histograms[name]
-        (family.labels(**labels) if labels else family).observe(seconds)
-
-    def text(self) -> bytes:
-        """Return all metrics in the text format that monitoring tools read."""
-        return generate_latest(self._registry)
-
-    def _declare(self, name: str, metric: Metric) -> None:
-        arguments = (PREFIX + name, metric.meaning, metric.labels)
-        registry = self._registry
-        if metric.kind == "counter":
-            self._counters[name] = Counter(*arguments, registry=registry)
-        elif metric.kind == "gauge":
-            self._gauges[name] = Gauge(*arguments, registry=registry)
-        else:
-            self._histograms[name] = Histogram(
-                *arguments, registry=registry, buckets=SECONDS
-            )
+        self._histograms[name][_key(name, labels)].add(seconds)
+
+    def values(self, name: str) -> Mapping[Labels, float]:
+        """Return the values of a counter or gauge, by its labels."""
+        return self._values[name]
+
+    def observations(self, name: str) -> Mapping[Labels, Observations]:
+        """Return what a histogram was told, by its labels."""
+        return self._histograms[name]
+
+
+def _key(name: str, labels: dict[str, str]) -> Labels:
+    return tuple(labels[label] for label in METRICS[name].labels)
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import secrets
+from importlib import import_module
 from typing import Protocol
 
 from teaselledge_fleet.connection.codec import encode_state
@@ -51,6 +52,8 @@
 
 INCARNATION_BITS = 62
 METRICS_PATH = "/metrics"
+METRICS_PAGE = "teaselledge_fleet.process.metricspage"
+"""Loaded when it is asked for first."""
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
@@ -303,21 +306,22 @@
         age = self._belief.age
         metrics.set("running", self._front.running)
         metrics.set("busy", self._busyness.busy)
-        metrics.set_total("caller_connections", self._front.acceptor.accepted)
-        metrics.set_total("connections_passed_on", self._front.acceptor.passed_on)
-        metrics.set_total("connections_refused", self._front.acceptor.refused)
+        metrics.set("caller_connections", self._front.acceptor.accepted)
+        metrics.set("connections_passed_on", self._front.acceptor.passed_on)
+        metrics.set("connections_refused", self._front.acceptor.refused)
         metrics.set("version", self._belief.version)
         metrics.set("store_age_seconds", -1.0 if age is None else age)
         metrics.set("store_era", self._belief.era or 0)
         metrics.set("routers_answering", len(self._members.answering))
         metrics.set("routers_advertised", len(self._members.ready))
-        metrics.set_total("store_calls", self._follower.calls)
-        metrics.set_total("endpoint_connections", self._pool.opened)
-        metrics.set_total("admissions_asked", self._asking.asked)
-        metrics.set_total("admissions_unanswered", self._asking.unanswered)
-        metrics.set_total("peer_sent_bytes", self._socket.sent_bytes)
-        metrics.set_total("peer_malformed", self._socket.malformed)
-        return Page(200, metrics.text(), METRICS_TYPE)
+        metrics.set("store_calls", self._follower.calls)
+        metrics.set("endpoint_connections", self._pool.opened)
+        metrics.set("admissions_asked", self._asking.asked)
+        metrics.set("admissions_unanswered", self._asking.unanswered)
+        metrics.set("peer_sent_bytes", self._socket.sent_bytes)
+        metrics.set("peer_malformed", self._socket.malformed)
+        page = import_module(METRICS_PAGE).metrics_page(metrics)
+        return Page(200, page, METRICS_TYPE)
 
 
 def _limits(settings: FleetSettings) -> RepeatLimits:
--- a/packages/fleet/tests/test_metrics.py
+++ b/packages/fleet/tests/test_metrics.py
@@ -1,6 +1,7 @@
 """Tests of the page of metrics."""
 
 from teaselledge_fleet.process.metrics import METRICS, FleetMetrics
+from teaselledge_fleet.process.metricspage import metrics_page
 
 COLLECTED_BYTES = 4096
 """What a collector may keep of each page."""
@@ -12,7 +13,27 @@
     for service in range(10):
         metrics.observe("request_seconds", 0.1, service=f"s{service}")
         metrics.count("requests", outcome="whole", fault="", service=f"s{service}")
-    page = metrics.text()[:COLLECTED_BYTES].decode()
+    page = metrics_page(metrics)[:COLLECTED_BYTES].decode()
     for name, metric in METRICS.items():
         if metric.kind == "gauge":
             assert f"\nteaselledge_{name} " in page, name
+
+
+def test_page_holds_what_was_counted():
+    metrics = FleetMetrics()
+    metrics.set("store_calls", 7)
+    metrics.count("attempts", outcome="whole", service="books")
+    metrics.count("attempts", outcome="whole", service="books")
+    for seconds in (0.05, 0.1, 99.0):
+        metrics.observe("pause_seconds", seconds, service="books")
+    lines = metrics_page(metrics).decode().splitlines()
+    for expected in (
+        "teaselledge_store_calls_total 7.0",
+        'teaselledge_attempts_total{outcome="whole",service="books"} 2.0',
+        'teaselledge_pause_seconds_bucket{le="0.05",service="books"} 1.0',
+        'teaselledge_pause_seconds_bucket{le="0.1",service="books"} 2.0',
+        'teaselledge_pause_seconds_bucket{le="8.0",service="books"} 2.0',
+        'teaselledge_pause_seconds_bucket{le="+Inf",service="books"} 3.0',
+        'teaselledge_pause_seconds_count{service="books"} 3.0',
+    ):
+        assert expected in lines, expected
--- a/packages/router/src/teaselledge/connection/peer.py
+++ b/packages/router/src/teaselledge/connection/peer.py
@@ -7,7 +7,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from teaselledge_wire import CodecError, FrameError, decode, encode, pack, read_frame
+from teaselledge_wire.codec import CodecError, decode, encode
+from teaselledge_wire.frame import FrameError, pack, read_frame
 from teaselledge_wire.gen.router.ttypes import Envelope, Heartbeat, Message
 from tornado.iostream import IOStream, SSLIOStream, StreamClosedError
 from tornado.netutil import bind_sockets
--- a/packages/router/tests/test_exchange.py
+++ b/packages/router/tests/test_exchange.py
@@ -25,7 +25,7 @@
     Zone,
 )
 from teaselledge_standins.recorder import RecordingMesh
-from teaselledge_wire import encode
+from teaselledge_wire.codec import encode
 from teaselledge_wire.gen.router.ttypes import Account, Report
 
 VIRTUAL_CLOCK = True
--- a/packages/router/tests/test_peer.py
+++ b/packages/router/tests/test_peer.py
@@ -15,7 +15,8 @@
 from teaselledge.process.settings import Listener
 from teaselledge.process.tls import client_context, server_context, warn_of_plain
 from teaselledge_standins.certificates import Authority
-from teaselledge_wire import MAX_FRAME, encode, pack
+from teaselledge_wire.codec import encode
+from teaselledge_wire.frame import MAX_FRAME, pack
 from teaselledge_wire.gen.router.ttypes import Beat, Heartbeat, Message, SectionAnswer
 from thrift.protocol.TCompactProtocol import TCompactProtocol
 from thrift.Thrift import TType
--- a/packages/standins/src/teaselledge_standins/virtual/network.py
+++ b/packages/standins/src/teaselledge_standins/virtual/network.py
@@ -7,7 +7,8 @@
 from random import Random
 
 from teaselledge.process.mesh import Handler, Origin, Registry
-from teaselledge_wire import decode, encode, pack
+from teaselledge_wire.codec import decode, encode
+from teaselledge_wire.frame import pack
 from teaselledge_wire.gen.router.ttypes import Message
 
 __all__ = ["NetworkPlan", "VirtualMesh", "VirtualNetwork"]
--- a/packages/wire/tests/test_codec.py
+++ b/packages/wire/tests/test_codec.py
@@ -2,7 +2,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
-from teaselledge_wire import CodecError, decode, encode
+from teaselledge_wire.codec import CodecError, decode, encode
 from teaselledge_wire.gen.router.ttypes import Body, Message, Withdraw
 
 
