teaselctl routers: the fleet on the platform as one of its routers sees it

On-call had to read the pages of hundreds of routers to see who is busy, who is silent and which version or era of the store is known. One call to any router's port for others tells it by zone; it fetches the state that routers fetch from one another.

--- a/packages/ctl/src/teaselctl/commands/__init__.py
+++ b/packages/ctl/src/teaselctl/commands/__init__.py
@@ -86,6 +86,13 @@
         "Show routers, versions in force, services, shares and health.",
         "It looks twice, --seconds apart, to tell what organisations receive now.",
     ),
+    "routers": Command(
+        "teaselctl.commands.routers",
+        "routers --router=HOST:PORT",
+        "Show routers on the platform by zone, as one of them sees them.",
+        "HOST:PORT is the router's port for other routers. It tells the version in "
+        "force, the store's era and the age of what is known of it.",
+    ),
     "drain": Command(
         "teaselctl.commands.drain",
         "drain --router=HOST:PORT --key_file=FILE",
