Don't take a router's own delay for slow engines

What callers saw: at a flooded router and its neighbours requests were refused as over their share at engines that had 40 ms to read and three requests running.

Cause: a router learns how fast engines read from the time to the first event as it sees it. It forecasts six times the wait, refuses, and tells the routers that admit six times the reading. Class: an own delay measured as the other side's.

Change: nothing is learnt of endpoints while the loop's turns are longer than 0.02 s. Looked for elsewhere: the same was in the forecast of plain services, which this covers; what tells whether other routers are silent has its own guard (`Busyness.late`).

--- a/packages/fleet/src/teaselledge_fleet/process/busyness.py
+++ b/packages/fleet/src/teaselledge_fleet/process/busyness.py
@@ -40,6 +40,13 @@
 objective of 0.8 s; turns of a router that has room take 5 to 20 ms.
 """
 
+PROMPT_TURN_SECONDS = 0.02
+"""Longest turn with which times that are measured here are those of endpoints.
+
+An answer waits for up to three turns on its way; the shortest that tell how fast an
+endpoint reads take 0.1 s.
+"""
+
 LONG_TURNS = 2
 """Long turns in a row that count. A VM that was paused has a single one, and can take
 requests at once."""
@@ -116,6 +123,7 @@
         self._cores = min(1.0, max(0.01, cores))
         self._used = 0.0
         self._loop_used = 0.0
+        self._last_longest_turn = 0.0
         self._lag = 0.0
         self._late_until = 0.0
         self.on_tick: Callable[[], None] = lambda: None
@@ -139,6 +147,18 @@
         selector = _selector_of(asyncio.get_running_loop())
         return selector is not None and selector.long_turns >= LONG_TURNS
 
+    @property
+    def prompt(self) -> bool:
+        """Whether answers are read about when they come.
+
+        Else what is measured of an endpoint is this router's own delay.
+        """
+        selector = _selector_of(asyncio.get_running_loop())
+        if selector is None:
+            return True
+        longest = max(self._last_longest_turn, selector.longest_turn)
+        return longest < PROMPT_TURN_SECONDS
+
     @property
     def busy(self) -> float:
         """Part of the processor time that is used, from 0 to 1."""
@@ -164,6 +184,7 @@
         if selector is None:
             return 0.0
         longest, selector.longest_turn = selector.longest_turn, 0.0
+        self._last_longest_turn = longest
         return longest
 
     async def run(self) -> None:
--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 from typing import Protocol
 
@@ -135,11 +135,20 @@
         self._locator: Locator = _NoLocator()
         self._sent: dict[tuple[str, str], _Sent] = {}
         self._ask: Ask = _nobody
+        self._is_prompt: Callable[[], bool] = lambda: True
 
     def ask_with(self, ask: Ask) -> None:
         """Have the router that admits to an endpoint asked."""
         self._ask = ask
 
+    def learn_while(self, is_prompt: Callable[[], bool]) -> None:
+        """Learn from answers only while this router reads them when they come.
+
+        A router without time would take engines for many times slower than they are,
+        refuse what they have room for, and tell others that they have more to read.
+        """
+        self._is_prompt = is_prompt
+
     def use(self, routing: Routing) -> None:
         """Take a version of the configuration."""
         self._bounds.use(routing)
@@ -294,15 +303,21 @@
         sent = self._sent.get(key)
         if sent is None:
             return
-        if context.call.prompt is None:
-            self._chooser.plain.observe(endpoint.id, self._now() - sent.at)
-        else:
-            taken = self._now() - sent.at - self._distance.seconds(endpoint.zone)
-            reading = sent.wait * BUSY_PART + sent.reading
-            self._chooser.reading.observe(endpoint.service, reading, taken)
+        if self._is_prompt():
+            self._learn(context, endpoint, sent)
         self._work.add(endpoint.id, 0, -sent.reading)
         self._sent[key] = replace(sent, reading=0.0)
 
+    def _learn(self, context: RequestContext, endpoint: Endpoint, sent: _Sent) -> None:
+        """Learn how long an endpoint took to begin an answer."""
+        taken = self._now() - sent.at
+        if context.call.prompt is None:
+            self._chooser.plain.observe(endpoint.id, taken)
+            return
+        reading = sent.wait * BUSY_PART + sent.reading
+        taken -= self._distance.seconds(endpoint.zone)
+        self._chooser.reading.observe(endpoint.service, reading, taken)
+
     def ended(
         self, context: RequestContext, endpoint: Endpoint, outcome: Outcome
     ) -> None:
--- a/packages/fleet/tests/test_placing.py
+++ b/packages/fleet/tests/test_placing.py
@@ -300,3 +300,27 @@
     refused = await placed(desk, desk.context())
     assert refused.kind is FaultKind.OVER_CAPACITY
     assert len(asked) == 1
+
+
+async def answer_late(desk: Desk, times: int) -> float:
+    """Let answers begin late; return how slow the engines are taken to be."""
+    for _ in range(times):
+        context = desk.context(own=12_000)
+        engine = desk.view.get(await placed(desk, context))
+        await asyncio.sleep(3.0)
+        desk.placer.began(context, engine)
+        desk.placer.ended(context, engine, Outcome.WHOLE)
+    return desk.placer._chooser.reading.factor("books")
+
+
+async def test_own_delay_is_not_taken_for_slow_engines():
+    """A flooded router reads answers late, all of them.
+
+    It took engines for six times slower than they are, and refused requests as over
+    their share at engines with nothing to do.
+    """
+    desk = Desk()
+    desk.placer.learn_while(lambda: False)
+    assert await answer_late(desk, 100) == 1.0
+    desk.placer.learn_while(lambda: True)
+    assert await answer_late(desk, 20) > 1.0
--- a/packages/standins/src/teaselledge_standins/fleetrouters.py
+++ b/packages/standins/src/teaselledge_standins/fleetrouters.py
@@ -42,6 +42,7 @@
     busy: float = 1.0
     crowded: float = 1.0
     loop_used: float = 0.0
+    prompt: bool = False
 
     def take_longest_turn(self) -> float:
         """Return that turns are short: the limit of connections is not wanted here."""
