Limit what a router takes over from crowded ones, as it limits callers

Cause: the limit of connections guards the callers' listener only. A router chooses by what it heard some pulses ago, and every connection in between goes to the same neighbour, which had to take it.

Change: one that has no time answers what is passed on to it with 503 and a time to come back, after reading it: the caller's bytes may still be on their way, and it is known whose request it is. test_neighbour_takes_over_no_more_than_it_has_time_for fails before.

--- a/packages/fleet/src/teaselledge_fleet/connection/accepting.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/accepting.py
@@ -51,10 +51,13 @@
         connected here.
     stands_for : int
         Requests that it is a sample of; the others were refused unread.
+    crowded : bool
+        Whether another router passed it on and this one has no time for it.
     """
 
     least_version: int | None = None
     stands_for: int = 1
+    crowded: bool = False
 
 
 OWN_CALLER = Origin()
@@ -201,7 +204,9 @@
             _log.warning("connection without a preface", router=address[0])
             stream.close()
             return
-        self._origins[stream] = Origin(least_version=version)
+        # the router that passed it on has chosen by what it heard some pulses ago
+        crowded = not self.has_time()
+        self._origins[stream] = Origin(least_version=version, crowded=crowded)
         self._serve(stream, address)
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
--- a/packages/fleet/tests/test_relay.py
+++ b/packages/fleet/tests/test_relay.py
@@ -119,6 +119,15 @@
     assert pair.crowded.router._front.acceptor.passed_on == 0
 
 
+async def test_neighbour_takes_over_no_more_than_it_has_time_for(pair):
+    """Several flooded routers choose the same neighbour before it says it is busy."""
+    pair.neighbour.router._limit._limit = 0
+    answered = await ask(pair.crowded.port)
+    assert answered.status == 503
+    assert not pair.engine.received
+    assert float(answered.headers["retry-after"]) > 0
+
+
 async def test_leaving_router_passes_nothing_on(pair):
     """A request passed on late would be cut when this router ends."""
     pair.crowded.router._server.leaving = True
