Wait for a written event only where the socket's buffer has no room for it

Each event of a stream set up a time limit, though nearly all are written at once. A caller that takes nothing is cut off as before (test_serving).

--- a/packages/fleet/src/teaselledge_fleet/connection/front.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/front.py
@@ -137,6 +137,10 @@
         self._connection.close()
 
     async def _wait(self, written: "asyncio.Future[None]") -> None:
+        if written.done():
+            # as a rule: the socket's buffer had room for an event
+            written.result()
+            return
         try:
             async with asyncio.timeout(STALL_SECONDS):
                 await written
