Learn from an answer only if the router was prompt since it was asked for

Change: a turn of over 0.02 s is remembered, and answers to what was sent before it teach nothing. test_a_router_is_not_prompt_since_before_a_long_turn.

--- a/packages/fleet/src/teaselledge_fleet/process/busyness.py
+++ b/packages/fleet/src/teaselledge_fleet/process/busyness.py
@@ -1,6 +1,7 @@
 """How much of its processor time this router uses."""
 
 import asyncio
+import math
 import selectors
 import time
 from collections.abc import Callable
@@ -123,7 +124,8 @@
         self._cores = min(1.0, max(0.01, cores))
         self._used = 0.0
         self._loop_used = 0.0
-        self._last_longest_turn = 0.0
+        self._delayed_at = -math.inf
+        """Loop time of the last look at a turn that was longer than prompt ones."""
         self._lag = 0.0
         self._late_until = 0.0
         self.on_tick: Callable[[], None] = lambda: None
@@ -147,17 +149,15 @@
         selector = _selector_of(asyncio.get_running_loop())
         return selector is not None and selector.long_turns >= LONG_TURNS
 
-    @property
-    def prompt(self) -> bool:
-        """Whether answers are read about when they come.
+    def prompt_since(self, at: float) -> bool:
+        """Whether answers were read about when they came since a loop time.
 
-        Else what is measured of an endpoint is this router's own delay.
+        Else what was measured of an endpoint since then is this router's own delay.
         """
         selector = _selector_of(asyncio.get_running_loop())
         if selector is None:
             return True
-        longest = max(self._last_longest_turn, selector.longest_turn)
-        return longest < PROMPT_TURN_SECONDS
+        return self._delayed_at < at and selector.longest_turn < PROMPT_TURN_SECONDS
 
     @property
     def busy(self) -> float:
@@ -184,7 +184,8 @@
         if selector is None:
             return 0.0
         longest, selector.longest_turn = selector.longest_turn, 0.0
-        self._last_longest_turn = longest
+        if longest >= PROMPT_TURN_SECONDS:
+            self._delayed_at = asyncio.get_running_loop().time()
         return longest
 
     async def run(self) -> None:
--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -135,19 +135,19 @@
         self._locator: Locator = _NoLocator()
         self._sent: dict[tuple[str, str], _Sent] = {}
         self._ask: Ask = _nobody
-        self._is_prompt: Callable[[], bool] = lambda: True
+        self._prompt_since: Callable[[float], bool] = lambda at: True
 
     def ask_with(self, ask: Ask) -> None:
         """Have the router that admits to an endpoint asked."""
         self._ask = ask
 
-    def learn_while(self, is_prompt: Callable[[], bool]) -> None:
-        """Learn from answers only while this router reads them when they come.
+    def learn_if(self, prompt_since: Callable[[float], bool]) -> None:
+        """Learn from an answer only if this router was prompt since it was asked for.
 
         A router without time would take engines for many times slower than they are,
         refuse what they have room for, and tell others that they have more to read.
         """
-        self._is_prompt = is_prompt
+        self._prompt_since = prompt_since
 
     def use(self, routing: Routing) -> None:
         """Take a version of the configuration."""
@@ -303,7 +303,7 @@
         sent = self._sent.get(key)
         if sent is None:
             return
-        if self._is_prompt():
+        if self._prompt_since(sent.at):
             self._learn(context, endpoint, sent)
         self._work.add(endpoint.id, 0, -sent.reading)
         self._sent[key] = replace(sent, reading=0.0)
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -114,7 +114,7 @@
         self._pool = ConnectionPool()
         self._budget = RepeatBudget(_limits(settings))
         self._placer = FleetPlacer(self._belief.view, place.zone, settings.zones)
-        self._placer.learn_while(lambda: self._busyness.prompt)
+        self._placer.learn_if(lambda at: self._busyness.prompt_since(at))
         self._metrics = FleetMetrics()
         self._server = Server(
             dialect, self._pool, self._placer, self._budget, self._metrics
--- a/packages/fleet/tests/test_busyness.py
+++ b/packages/fleet/tests/test_busyness.py
@@ -8,6 +8,7 @@
     HELD_UP_SECONDS,
     LONG_TURN_SECONDS,
     LONG_TURNS,
+    PROMPT_TURN_SECONDS,
     Busyness,
     new_loop,
 )
@@ -121,3 +122,25 @@
     """The whole VM stood still for a moment; nothing waits for its next turn."""
     with asyncio.Runner(loop_factory=new_loop) as runner:
         assert not any(runner.run(turns([0.0, 0.5, 0.0, 0.0])))
+
+
+def test_a_router_is_not_prompt_since_before_a_long_turn():
+    """What was sent before it waited for it, also where turns are short again."""
+
+    async def work_once() -> None:
+        loop = asyncio.get_running_loop()
+        busyness = Busyness(1.0)
+        await asyncio.sleep(0)
+        busyness.take_longest_turn()
+        sent = loop.time()
+        while loop.time() < sent + 2 * PROMPT_TURN_SECONDS:
+            pass
+        await asyncio.sleep(0)
+        assert not busyness.prompt_since(sent)
+        busyness.take_longest_turn()
+        await asyncio.sleep(0.01)
+        assert not busyness.prompt_since(sent)
+        assert busyness.prompt_since(loop.time())
+
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        runner.run(work_once())
--- a/packages/fleet/tests/test_placing.py
+++ b/packages/fleet/tests/test_placing.py
@@ -320,7 +320,7 @@
     their share at engines with nothing to do.
     """
     desk = Desk()
-    desk.placer.learn_while(lambda: False)
+    desk.placer.learn_if(lambda at: False)
     assert await answer_late(desk, 100) == 1.0
-    desk.placer.learn_while(lambda: True)
+    desk.placer.learn_if(lambda at: True)
     assert await answer_late(desk, 20) > 1.0
--- a/packages/standins/src/teaselledge_standins/fleetrouters.py
+++ b/packages/standins/src/teaselledge_standins/fleetrouters.py
@@ -42,7 +42,10 @@
     busy: float = 1.0
     crowded: float = 1.0
     loop_used: float = 0.0
-    prompt: bool = False
+
+    def prompt_since(self, at: float) -> bool:
+        """Return that it is late all the time."""
+        return False
 
     def take_longest_turn(self) -> float:
         """Return that turns are short: the limit of connections is not wanted here."""
