Pass on little more than other routers take over, and refuse the rest at once

Cause: a router does not look at what becomes of what it passes on. A connection that is refused there costs two routers more than its request is worth, and holds up those that are served.

--- a/packages/fleet/src/teaselledge_fleet/connection/accepting.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/accepting.py
@@ -88,6 +88,11 @@
     choose_router : callable
         Returns where another router takes over a new connection, None where it is to
         be served here.
+    may_pass_on : callable
+        Whether other routers are taken to have room for one more connection.
+    on_passed_on, on_refused : callable
+        Called for each connection that is passed on, and for each of them that the
+        other router refuses.
     version : callable
         Returns the version of the configuration in force.
     has_time : callable
@@ -99,12 +104,16 @@
     ) -> None:
         self._serve = serve
         self.choose_router: Callable[[], str | None] = lambda: None
+        self.may_pass_on: Callable[[], bool] = lambda: True
+        self.on_passed_on: Callable[[], None] = lambda: None
+        self.on_refused: Callable[[], None] = lambda: None
         self.version: Callable[[], int] = lambda: 0
         self.has_time: Callable[[], bool] = lambda: True
         self.accepted = 0
         self.passed_on = 0
         self.sampled = 0
         self._relays = RelayPool(idle_seconds)
+        self._relays.on_refused = lambda: self.on_refused()
         self._refusals = QuickRefusals(_refusals())
         self._origins: WeakKeyDictionary[IOStream, Origin] = WeakKeyDictionary()
         self._listeners: list[_Listener] = []
@@ -164,6 +173,10 @@
         if router is None:
             self._serve(IOStream(connection), address)
             return
+        if not self.may_pass_on():
+            self._refuse(connection, address)
+            return
+        self.on_passed_on()
         self._start(self._pass_on(connection, address, router))
 
     def _refuse(self, connection: socket.socket, address: Any) -> None:
--- a/packages/fleet/src/teaselledge_fleet/connection/relay.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 from typing import cast
 
 __all__ = ["PREFACE_BYTES", "RelayPool", "preface", "read_preface"]
@@ -14,6 +15,9 @@
 """Connections passed on at the same time, each with two descriptors and up to two
 buffers."""
 
+REFUSALS = (b"HTTP/1.1 429", b"HTTP/1.1 503")
+"""Beginnings of answers that promise that a request has not run."""
+
 PREFACE = b"relayed %d\n"
 PREFACE_BYTES = 32
 
@@ -44,11 +48,17 @@
     idle_seconds : float
         Time after which a connection without any bytes is closed. Both its ends may
         have lost power, and nothing else would tell.
+
+    Attributes
+    ----------
+    on_refused : callable
+        Called where the other router's answer is a refusal.
     """
 
     def __init__(self, idle_seconds: float) -> None:
         self._idle_seconds = idle_seconds
         self._relays: set[_Relay] = set()
+        self.on_refused: Callable[[], None] = lambda: None
 
     @property
     def running(self) -> int:
@@ -81,7 +91,7 @@
         """
         loop = asyncio.get_running_loop()
         host, _, port = address.rpartition(":")
-        relay = _Relay(self._relays)
+        relay = _Relay(self._relays, self.on_refused)
         try:
             async with asyncio.timeout(CONNECT_SECONDS):
                 await loop.create_connection(lambda: relay.router, host, int(port))
@@ -107,8 +117,10 @@
 class _Relay:
     """A caller's connection and the one to the router that serves it."""
 
-    def __init__(self, relays: "set[_Relay]") -> None:
+    def __init__(self, relays: "set[_Relay]", on_refused: Callable[[], None]) -> None:
         self._relays = relays
+        self._on_refused = on_refused
+        self._answered = False
         self._watch: asyncio.TimerHandle | None = None
         self.ended = False
         self.active = asyncio.get_running_loop().time()
@@ -134,6 +146,15 @@
             return
         self._watch = loop.call_later(left, self._break_off_idle, idle_seconds)
 
+    def pass_on(self, side: "_Side", data: bytes) -> None:
+        """Pass on what came from a side."""
+        self.active = asyncio.get_running_loop().time()
+        if side is self.router and not self._answered:
+            self._answered = True
+            if data.startswith(REFUSALS):
+                self._on_refused()
+        self.other(side).write(data)
+
     def end(self, side: "_Side", broken: bool) -> None:
         """Note that a side has ended.
 
@@ -171,8 +192,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Pass on what came."""
-        self._relay.active = asyncio.get_running_loop().time()
-        self._relay.other(self).write(data)
+        self._relay.pass_on(self, data)
 
     def eof_received(self) -> bool:
         """Close, as the other side has."""
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -26,6 +26,7 @@
 from teaselledge_fleet.process.members import Member, Members, MemberState
 from teaselledge_fleet.process.metrics import FleetMetrics
 from teaselledge_fleet.process.offloading import Offloading
+from teaselledge_fleet.process.passingrate import PassingRate
 from teaselledge_fleet.process.placing import FleetPlacer
 from teaselledge_fleet.process.registration import Registration
 from teaselledge_fleet.process.settings import FleetSettings
@@ -132,6 +133,10 @@
         acceptor.version = lambda: self._belief.version
         self._offloading = Offloading(self._members)
         acceptor.choose_router = self._choose_router
+        self._passing = PassingRate()
+        acceptor.may_pass_on = lambda: self._passing.allows
+        acceptor.on_passed_on = self._passing.note_passed
+        acceptor.on_refused = self._passing.note_refused
         self._limit = ConnectionLimit()
         acceptor.has_time = lambda: self._limit.allows(self._front.running)
         asks_seeds = bool(settings.seeds) and own.peers not in settings.seeds
@@ -224,6 +229,7 @@
     def _note_load(self) -> None:
         """Tell how busy this router is, and limit its connections by its time."""
         self._members.set_busy(self._busyness.busy)
+        self._passing.tick()
         longest, used = self._busyness.take_longest_turn(), self._busyness.loop_used
         limited = math.isfinite(self._limit.limit)
         self._limit.note(longest, used, self._front.running)
--- a/packages/fleet/tests/test_relay.py
+++ b/packages/fleet/tests/test_relay.py
@@ -7,6 +7,7 @@
 
 from teaselledge_fleet.connection.relay import RelayPool, preface, read_preface
 from teaselledge_fleet.process.endpoints import Endpoint
+from teaselledge_fleet.process.passingrate import PassingRate
 from teaselledge_fleet.version.routes import Repeat
 from teaselledge_standins.fleetrouters import RunningRouter, running_routers
 from teaselledge_standins.routes import HOST, ask, make_route, make_routing
@@ -15,6 +16,7 @@
 SETTLED_SECONDS = 1.5
 EVENT = b"id: 1\ndata: x\n\n"
 VERSION = 1
+REFUSED = 20
 
 
 async def echo(request: Received, writer: asyncio.StreamWriter) -> None:
@@ -128,6 +130,23 @@
     assert float(answered.headers["retry-after"]) > 0
 
 
+async def test_what_the_neighbour_refuses_is_refused_here(pair):
+    """Two routers pay for a request that none of them serves, and its caller waits."""
+    pair.neighbour.router._limit._limit = 0
+    crowded = pair.crowded.router
+    # ticks come when the test says so
+    passing, crowded._passing.tick = crowded._passing, lambda: None
+    for _ in range(REFUSED):
+        assert (await ask(pair.crowded.port)).status == 503
+    PassingRate.tick(passing)
+    passed_on = crowded._front.acceptor.passed_on
+    for _ in range(REFUSED):
+        assert (await ask(pair.crowded.port)).status == 503
+    assert passed_on == REFUSED
+    assert crowded._front.acceptor.passed_on < passed_on + REFUSED / 2
+    assert not pair.engine.received
+
+
 async def test_leaving_router_passes_nothing_on(pair):
     """A request passed on late would be cut when this router ends."""
     pair.crowded.router._server.leaving = True
