--- a/packages/fleet/src/teaselledge_fleet/connection/accepting.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/accepting.py
@@ -91,8 +91,8 @@
     may_pass_on : callable
         Whether other routers are taken to have room for one more connection.
     on_passed_on, on_refused : callable
-        Called for each connection that is passed on, and for each of them that the
-        other router refuses.
+        Called for each connection that is passed on, with where to, and for each of
+        them that the other router refuses.
     version : callable
         Returns the version of the configuration in force.
     has_time : callable
@@ -105,7 +105,7 @@
         self._serve = serve
         self.choose_router: Callable[[], str | None] = lambda: None
         self.may_pass_on: Callable[[], bool] = lambda: True
-        self.on_passed_on: Callable[[], None] = lambda: None
+        self.on_passed_on: Callable[[str], None] = lambda router: None
         self.on_refused: Callable[[], None] = lambda: None
         self.version: Callable[[], int] = lambda: 0
         self.has_time: Callable[[], bool] = lambda: True
@@ -176,7 +176,7 @@
         if not self.may_pass_on():
             self._refuse(connection, address)
             return
-        self.on_passed_on()
+        self.on_passed_on(router)
         self._start(self._pass_on(connection, address, router))
 
     def _refuse(self, connection: socket.socket, address: Any) -> None:
--- a/packages/fleet/src/teaselledge_fleet/process/offloading.py
+++ b/packages/fleet/src/teaselledge_fleet/process/offloading.py
@@ -60,7 +60,7 @@
         self._candidates: list[Member] = []
         self._looked_at = -REMEMBERED_SECONDS
         self._found_at = -KEPT_SECONDS
-        self._chosen: Counter[str] = Counter()
+        self._passed_on: Counter[str] = Counter()
         self._logged_at = 0.0
 
     def choose(self, load: Load) -> str | None:
@@ -72,9 +72,7 @@
         if not candidates:
             return None
         weights = [spare_cores(member) for member in candidates]
-        chosen = random.choices(candidates, weights)[0]
-        self._note(chosen)
-        return chosen.relays
+        return random.choices(candidates, weights)[0].relays
 
     def _find(self) -> list[Member]:
         """Return routers of the zone that are not crowded themselves."""
@@ -93,10 +91,12 @@
             self._candidates = [peer for peer in zone_peers if peer.busy < CROWDED]
         return self._candidates
 
-    def _note(self, chosen: Member) -> None:
-        self._chosen[chosen.vm] += 1
+    def note_passed_on(self, router: str) -> None:
+        """Count a connection that is passed on, for the log."""
+        vms = {member.relays: member.vm for member in self._candidates}
+        self._passed_on[vms.get(router, router)] += 1
         now = asyncio.get_running_loop().time()
         if now - self._logged_at >= LOG_SECONDS:
             self._logged_at = now
-            _log.info("connections passed on", routers=dict(self._chosen))
-            self._chosen.clear()
+            _log.info("connections passed on", routers=dict(self._passed_on))
+            self._passed_on.clear()
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -135,7 +135,7 @@
         acceptor.choose_router = self._choose_router
         self._passing = PassingRate()
         acceptor.may_pass_on = lambda: self._passing.allows
-        acceptor.on_passed_on = self._passing.note_passed
+        acceptor.on_passed_on = self._note_passed_on
         acceptor.on_refused = self._passing.note_refused
         self._limit = ConnectionLimit()
         acceptor.has_time = lambda: self._limit.allows(self._front.running)
@@ -250,6 +250,10 @@
             return None
         return self._offloading.choose(self._busyness)
 
+    def _note_passed_on(self, router: str) -> None:
+        self._passing.note_passed()
+        self._offloading.note_passed_on(router)
+
     def _listen(self, address: str, answer: "object") -> None:
         server = PageServer(answer)  # type: ignore[arg-type]
         server.listen(*_split(address))
