--- a/tools/capacity_page.py
+++ b/tools/capacity_page.py
@@ -131,6 +131,19 @@
 (trial) and scale-2 0.586 in one play each, 803 and 784 s of 852 s of processor \
 time; before both were given up |
 | large site, quiet-1 | 0.86 | 0.835 on afae89a |
+| large site, trouble-1 | played to its end | given up at 40.6 s on 3b3b5a9, 0.658 \
+until then, no other rule broken (41.8 s on fc7d9db) |
+| cellarwright-bc-grown, scale-1 | 0.57 at the mean of its heavy days | 0.524 and \
+0.521 on c72f7ae, two plays, gate passed |
+| sudtrag-hq-grown, scale-1 | 0.47 at the mean of its heavy days | 0.567 with FAIR \
+broken on c72f7ae; 0.403 with no rule broken on 93256fe |
+| era of a restored store known by all, 9 / 40 / 195 routers, virtual clock, one \
+datagram of ten lost, slow store, cuts | 2 s at p99 | 3.4 / 2.7 / 4.4 s (100, 12 and \
+4 histories); p50 0.43 / 0.69 / 0.65 s |
+| histories with a promise broken by a restore, 9 / 40 / 195 routers | 0 of 1,000 | 0 \
+of 100 / 0 of 12 / 0 of 4 |
+| processor time to load a router, this machine | 0.25 s from exec to ready | 0.245 \
+to 0.315 s loading alone (0.338 to 0.434 before) |
 | sudtrag-hq, all days | none lower by 0.03 | gate passed; 0.835, 0.668, 0.571, 0.669, \
 0.592, and 0.653, 0.669, 0.696 in three plays of trouble-3 (0.665, 0.685 on afae89a) |
 | busiest router's control bytes at 89 / 195 / 370 routers, virtual clock | 7 KB/s | \
