Compare rows that a reading finds unchanged only once

Since revisions bear an era, each row of each reading was joined twice with what is known of it, by tuples. Behaviour is the same: such a row changed nothing before either.

--- a/packages/fleet/src/teaselledge_fleet/process/belief.py
+++ b/packages/fleet/src/teaselledge_fleet/process/belief.py
@@ -138,7 +138,9 @@
             return
         self._advance(as_of)
         present = {entry.id: entry for entry in rows.entries}
-        news = [self._confirmed(entry, rows.revision) for entry in present.values()]
+        # nearly all rows of a reading are as they were in the one before
+        fresh = [entry for entry in present.values() if not self.view.holds(entry)]
+        news = [self._confirmed(entry, rows.revision) for entry in fresh]
         for entry in self.view:
             if entry.endpoint is not None and entry.id not in present:
                 if self._settling():
--- a/packages/fleet/src/teaselledge_fleet/process/endpoints.py
+++ b/packages/fleet/src/teaselledge_fleet/process/endpoints.py
@@ -163,6 +163,10 @@
         """Return the entry of an endpoint, also of one that is gone."""
         return self._entries.get(name)
 
+    def holds(self, entry: Entry) -> bool:
+        """Whether an entry is known just as it is."""
+        return self._entries.get(entry.id) == entry
+
     def of_service(self, service: str) -> list[Endpoint]:
         """Return the endpoints of a service that take new work."""
         return self._by_service.get(service, [])
