Simpler marks of what a router has no time for, and a cheaper count of what it passes on

- Offloading built a table of its neighbours for each connection that it passed on, on the router that has least time; it is built once a second now, for the log line.
- Origin.crowded stands for all that is read and refused, so that one condition asks for it.
- teaselctl routers had its own copy of members.HINT_SECONDS.

--- a/packages/ctl/src/teaselctl/commands/routers.py
+++ b/packages/ctl/src/teaselctl/commands/routers.py
@@ -5,7 +5,12 @@
 from typing import Any
 
 from teaselledge_fleet.connection.peers import StateClient
-from teaselledge_fleet.process.members import MemberState, Report
+from teaselledge_fleet.process.members import (
+    HINT_SECONDS,
+    Member,
+    MemberState,
+    Report,
+)
 from teaselledge_wire.gen.fleet.ttypes import WholeState
 
 from teaselctl.options import FLAGS
@@ -13,9 +18,6 @@
 
 __all__ = ["run"]
 
-ANSWERING_SECONDS = 3.0
-"""Age up to which a router counts as heard; others' reports are so old at most."""
-
 COLUMNS = ("zone", "routers", "ready", "answering", "busiest", "busy", "mean_busy")
 
 
@@ -32,7 +34,7 @@
         raise CommandError(f"{FLAGS.router}: {fetched.error}")
     state = fetched.ok
     routers = [_row(Report.from_wire(info)) for info in state.routers or ()]
-    own = _row(Report(Report.from_wire(state.sender).member, 0.0))
+    own = _row(Report(Member.from_wire(state.sender), 0.0))
     value = {**_summary(state), "routers": [own, *routers]}
     return Output(value, _told(value))
 
@@ -96,4 +98,4 @@
 
 
 def _answers(silent: float | None) -> bool:
-    return silent is not None and silent <= ANSWERING_SECONDS
+    return silent is not None and silent <= HINT_SECONDS
--- a/packages/fleet/src/teaselledge_fleet/connection/accepting.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/accepting.py
@@ -52,7 +52,7 @@
     stands_for : int
         Requests that it is a sample of; the others were refused unread.
     crowded : bool
-        Whether another router passed it on and this one has no time for it.
+        Whether this router has no time for it; it is read all the same.
     """
 
     least_version: int | None = None
@@ -188,7 +188,7 @@
             self._refusals.refuse(connection)
             return
         stream = IOStream(connection)
-        self._origins[stream] = Origin(stands_for=SAMPLED)
+        self._origins[stream] = Origin(stands_for=SAMPLED, crowded=True)
         self.sampled += 1
         self._serve(stream, address)
 
--- a/packages/fleet/src/teaselledge_fleet/process/offloading.py
+++ b/packages/fleet/src/teaselledge_fleet/process/offloading.py
@@ -93,10 +93,11 @@
 
     def note_passed_on(self, router: str) -> None:
         """Count a connection that is passed on, for the log."""
-        vms = {member.relays: member.vm for member in self._candidates}
-        self._passed_on[vms.get(router, router)] += 1
+        self._passed_on[router] += 1
         now = asyncio.get_running_loop().time()
         if now - self._logged_at >= LOG_SECONDS:
             self._logged_at = now
-            _log.info("connections passed on", routers=dict(self._passed_on))
+            vms = {member.relays: member.vm for member in self._candidates}
+            routers = {vms.get(r, r): n for r, n in self._passed_on.items()}
+            _log.info("connections passed on", routers=routers)
             self._passed_on.clear()
--- a/packages/fleet/src/teaselledge_fleet/process/registration.py
+++ b/packages/fleet/src/teaselledge_fleet/process/registration.py
@@ -73,7 +73,7 @@
 
     @property
     def _is_written(self) -> bool:
-        return self._written_in is not None and self._written_in == self._era
+        return self._written_in == self._era
 
     @property
     def _era(self) -> int:
--- a/packages/fleet/src/teaselledge_fleet/request/serving.py
+++ b/packages/fleet/src/teaselledge_fleet/request/serving.py
@@ -115,7 +115,7 @@
             self._placer.note_asked(call, permitted.ok[1], origin.stands_for)
         if self.leaving:
             return Error(Fault(FaultKind.LEAVING, LEAVING_RETRY_SECONDS))
-        if self.late() or origin.crowded or origin.stands_for > 1:
+        if self.late() or origin.crowded:
             return Error(Fault(FaultKind.ROUTER_BUSY, BUSY_RETRY_SECONDS))
         if permitted.is_error():
             return Error(permitted.error)
