Let the limit of connections fall however many run

A cut needs no more to run than the limit allows, but an infinite limit stood for 4,000 in that question, to spare a rounding of infinity. Beyond 4,000 connections, which a VM with 8,192 descriptors can have, long turns would never have led to a cut.

--- a/packages/fleet/src/teaselledge_fleet/process/connectionlimit.py
+++ b/packages/fleet/src/teaselledge_fleet/process/connectionlimit.py
@@ -81,7 +81,7 @@
         What runs beyond it keeps turns long until it ends; another cut before that
         would be for the same reason.
         """
-        return running <= math.ceil(min(self._limit, UNLIMITED))
+        return running < self._limit + 1
 
     def _grow(self, idle: float) -> None:
         self._limit *= 1 + GROWTH * idle
--- a/packages/fleet/tests/test_connectionlimit.py
+++ b/packages/fleet/tests/test_connectionlimit.py
@@ -4,7 +4,7 @@
 from collections import deque
 
 from teaselledge_fleet.process.busyness import LONG_TURN_SECONDS
-from teaselledge_fleet.process.connectionlimit import LEAST, ConnectionLimit
+from teaselledge_fleet.process.connectionlimit import LEAST, UNLIMITED, ConnectionLimit
 
 SHORT, LONG = LONG_TURN_SECONDS / 2, LONG_TURN_SECONDS * 10
 
@@ -34,6 +34,14 @@
     assert math.isinf(limit.limit)
 
 
+def test_limit_falls_however_many_connections_run():
+    """A VM with many descriptors may run more than the limit ever grows to."""
+    limit = ConnectionLimit()
+    limit.note(LONG, 1.0, 2 * UNLIMITED)
+    limit.note(LONG, 1.0, 2 * UNLIMITED)
+    assert limit.limit < UNLIMITED
+
+
 class Loop:
     """An event loop whose turns are as long as the connections that it serves need.
 
