--- a/packages/fleet/src/teaselledge_fleet/faults.py
+++ b/packages/fleet/src/teaselledge_fleet/faults.py
@@ -26,6 +26,7 @@
     LEAVING = "leaving"
     ROUTER_BUSY = "router-busy"
     NO_ENDPOINT = "no-endpoint"
+    NO_ALLOWED_REGION = "no-allowed-region"
     OVER_CAPACITY = "over-capacity"
     OVER_SHARE = "over-share"
     NOT_IN_TIME = "not-in-time"
@@ -59,6 +60,9 @@
     FaultKind.LEAVING: FaultResponse(503, "This router is leaving"),
     FaultKind.ROUTER_BUSY: FaultResponse(503, "This router is held up"),
     FaultKind.NO_ENDPOINT: FaultResponse(503, "No endpoint can be reached"),
+    FaultKind.NO_ALLOWED_REGION: FaultResponse(
+        503, "Route and organisation have no allowed region in common"
+    ),
     FaultKind.OVER_CAPACITY: FaultResponse(503, "No endpoint has room"),
     FaultKind.OVER_SHARE: FaultResponse(429, "The organisation is over its share"),
     FaultKind.NOT_IN_TIME: FaultResponse(503, "No endpoint was free in time"),
--- a/packages/fleet/src/teaselledge_fleet/process/addresses.py
+++ b/packages/fleet/src/teaselledge_fleet/process/addresses.py
@@ -1,11 +1,13 @@
 """Selection of the router addresses that are returned to a caller."""
 
+import asyncio
 import random
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from teaselledge_fleet.process.members import Member
+from teaselledge_fleet.version.residency import ANYWHERE, Residency
 
-__all__ = ["addresses_for", "spare_cores"]
+__all__ = ["RegionCoverage", "addresses_for", "spare_cores"]
 
 MIN_ADDRESSES = 2
 """Minimum number of routers in a response, if that many are ready.
@@ -39,16 +41,39 @@
 """Minimum fraction of its cores that counts as spare, whatever the utilisation."""
 
 
+COVERAGE_SECONDS = 5.0
+"""Time for which every region must have had a ready router until callers are assumed to
+connect to their own region only. They use outdated addresses for up to 1.5 s."""
+
+
 def addresses_for(
-    ready: Sequence[Member], zones: Mapping[str, str], zone: str, region: str
+    ready: Sequence[Member],
+    zones: Mapping[str, str],
+    zone: str,
+    region: str,
+    residency: Residency = ANYWHERE,
 ) -> list[str]:
     """Return the addresses of routers that accept requests, nearest first.
 
     Callers pick an address at random for each connection. So the nearest routers are
     returned, those with more spare cores more often, and routers of other zones in
     proportion to the excess utilisation of the nearest.
+
+    Parameters
+    ----------
+    ready : sequence of Member
+        The routers that accept requests.
+    zones : mapping of str to str
+        Region of each zone.
+    zone, region : str
+        Location of the caller.
+    residency : Residency
+        Other regions whose routers may receive the caller's requests. Routers of the
+        remaining regions are returned only if there are no others.
     """
     region = region or zones.get(zone, "")
+    allowed = [m for m in ready if m.region == region or residency.allows(m.region)]
+    ready = allowed or ready
     near = [m for m in ready if m.zone == zone]
     candidates = _omit_overloaded(near)
     chosen = _sample(candidates, _near_count(candidates))
@@ -63,6 +88,39 @@
     return [member.caller_address for member in chosen[:MAX_ADDRESSES]]
 
 
+class RegionCoverage:
+    """Tracks whether callers connect to routers of their own region only.
+
+    While a region has no ready router, its callers are sent to others.
+
+    Parameters
+    ----------
+    zones : mapping of str to str
+        Region of each zone.
+    """
+
+    def __init__(self, zones: Mapping[str, str]) -> None:
+        self._regions = frozenset(zones.values())
+        self._covered_since: float | None = None
+
+    def update(self, ready: Iterable[Member]) -> None:
+        """Record the routers that accept requests at present."""
+        covered = self._regions <= {member.region for member in ready}
+        if not covered:
+            self._covered_since = None
+        elif self._covered_since is None:
+            self._covered_since = asyncio.get_running_loop().time()
+
+    @property
+    def complete(self) -> bool:
+        """Whether every region has had a ready router for some time."""
+        since = self._covered_since
+        return (
+            since is not None
+            and asyncio.get_running_loop().time() - since >= COVERAGE_SECONDS
+        )
+
+
 def _omit_overloaded(members: Sequence[Member]) -> Sequence[Member]:
     """Return the routers that are not overloaded, or all if too few are left.
 
--- a/packages/fleet/src/teaselledge_fleet/process/admission.py
+++ b/packages/fleet/src/teaselledge_fleet/process/admission.py
@@ -2,10 +2,11 @@
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from teaselledge_fleet.process.forecast import engine_queue_wait
+from teaselledge_fleet.process.warmup import WarmupGrants
 from teaselledge_fleet.process.work import EndpointLoad
 
 __all__ = ["AdmissionController", "AdmissionDecision", "AdmissionQuery"]
@@ -41,6 +42,9 @@
         Expected prefill time of this request's prompt.
     max_wait : float
         Maximum queueing time of the request, in seconds.
+    warmup_rate : int or None
+        Requests a second that the endpoint may get while it warms up, in the router's
+        view; None if it is not limited.
     """
 
     sender: int
@@ -50,6 +54,7 @@
     sender_load: EndpointLoad
     prefill_seconds: float
     max_wait: float
+    warmup_rate: int | None = None
 
 
 @dataclass(frozen=True)
@@ -83,10 +88,18 @@
     time: first tokens would be late for all, and prefixes would be copied to engines
     that should not cache them. A single coordinator sees each request before it is
     sent and counts them one after another.
+
+    Attributes
+    ----------
+    warmup_rate : callable
+        Returns the requests a second that an endpoint may get while it warms up, by
+        the hash of its id; None if it is not limited.
     """
 
     def __init__(self) -> None:
         self._records: defaultdict[int, dict[int, _SenderLoad]] = defaultdict(dict)
+        self._grants = WarmupGrants()
+        self.warmup_rate: Callable[[int], int | None] = lambda endpoint_hash: None
 
     def record_load(
         self, sender: int, sequence: int, loads: Mapping[int, EndpointLoad]
@@ -100,8 +113,12 @@
         remote_load = self._remote_load(query.endpoint_hash, query.sender)
         load = self._sender_load(query)
         wait = engine_queue_wait(remote_load + load, query.slots)
-        admitted = wait <= query.max_wait
+        self._grants.record_query(query.endpoint_hash, query.warmup_rate)
+        admitted = wait <= query.max_wait and self._grants.has_room(
+            query.endpoint_hash, self.warmup_rate(query.endpoint_hash)
+        )
         if admitted:
+            self._grants.record_grant(query.endpoint_hash)
             load = EndpointLoad(
                 load.in_flight + 1, load.prefill_seconds + query.prefill_seconds
             )
@@ -122,6 +139,7 @@
                     del records[sender]
             if not records:
                 del self._records[endpoint]
+                self._grants.discard(endpoint)
                 continue
             total = sum((record.load for record in records.values()), EndpointLoad())
             if total.in_flight:
--- a/packages/fleet/src/teaselledge_fleet/process/admissionrpc.py
+++ b/packages/fleet/src/teaselledge_fleet/process/admissionrpc.py
@@ -107,7 +107,11 @@
         socket.on(AdmissionReply, self._handle_reply)
 
     async def request_admission(
-        self, endpoint: Endpoint, prefill_seconds: float, max_wait: float
+        self,
+        endpoint: Endpoint,
+        prefill_seconds: float,
+        max_wait: float,
+        warmup_rate: int | None = None,
     ) -> AdmissionDecision | None:
         """Ask the coordinator whether a request may be sent.
 
@@ -119,6 +123,9 @@
             Expected prefill time of the prompt.
         max_wait : float
             Maximum queueing time of the request, in seconds.
+        warmup_rate : int or None
+            Requests a second that the endpoint may get while it warms up; None if it
+            is not limited.
 
         Returns
         -------
@@ -128,7 +135,7 @@
         coordinator = self._coordinators.for_endpoint(endpoint)
         if coordinator is None:
             return None
-        query = self._make_query(endpoint, prefill_seconds, max_wait)
+        query = self._make_query(endpoint, prefill_seconds, max_wait, warmup_rate)
         if coordinator.vm == self._members.own.vm:
             return self._record_decision(
                 endpoint, prefill_seconds, self._admission.decide(query)
@@ -225,7 +232,11 @@
         }
 
     def _make_query(
-        self, endpoint: Endpoint, prefill_seconds: float, max_wait: float
+        self,
+        endpoint: Endpoint,
+        prefill_seconds: float,
+        max_wait: float,
+        warmup_rate: int | None,
     ) -> AdmissionQuery:
         self._sequence += 1
         local_load = self._load.local(endpoint.id).subtract(
@@ -239,6 +250,7 @@
             local_load,
             prefill_seconds,
             max_wait,
+            warmup_rate,
         )
 
     def _handle_report(self, report: WorkReport, sender: str) -> None:
@@ -272,6 +284,7 @@
         int(query.sender_load.prefill_seconds * MS_PER_SECOND),
         int(query.prefill_seconds * MS_PER_SECOND),
         int(query.max_wait * MS_PER_SECOND),
+        query.warmup_rate,
     )
 
 
@@ -285,4 +298,5 @@
         load,
         (request.added or 0) / MS_PER_SECOND,
         (request.most_wait or 0) / MS_PER_SECOND,
+        request.rate,
     )
--- /dev/null
+++ b/packages/fleet/src/teaselledge_fleet/process/eligibility.py
@@ -0,0 +1,87 @@
+"""Which endpoints a request may be sent to, whatever their load."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from teaselledge_fleet.process.drains import DrainedZones
+from teaselledge_fleet.process.endpoints import Endpoint, EndpointView
+from teaselledge_fleet.version.residency import Residency
+
+__all__ = ["EligibleEndpoints"]
+
+
+MAX_SELECTIONS = 256
+"""Maximum number of cached selections, one for each service and residency."""
+
+
+@dataclass(frozen=True)
+class _Selection:
+    """Endpoints selected from those of a service, and what they were selected by."""
+
+    source: list[Endpoint]
+    drains_version: int
+    endpoints: list[Endpoint]
+
+
+class EligibleEndpoints:
+    """Endpoints that accept requests, outside drained zones and in allowed regions.
+
+    The candidates of each attempt, and the engines from which a prefix may be copied,
+    are taken from here only.
+
+    Parameters
+    ----------
+    view : EndpointView
+        The endpoints.
+    zones : mapping of str to str
+        Region of each zone.
+    drained_zones : DrainedZones
+        Zones whose endpoints get no new requests.
+    """
+
+    def __init__(
+        self,
+        view: EndpointView,
+        zones: Mapping[str, str],
+        drained_zones: DrainedZones,
+    ) -> None:
+        self._view = view
+        self._zones = zones
+        self._drained_zones = drained_zones
+        self._selections: dict[tuple[str, Residency], _Selection] = {}
+
+    def of_service(self, service: str, residency: Residency) -> list[Endpoint]:
+        """Return the endpoints of a service to which a request may be sent."""
+        source = self._view.of_service(service)
+        version = self._drained_zones.version
+        selection = self._selections.get((service, residency))
+        if (
+            selection is None
+            or selection.source is not source
+            or selection.drains_version != version
+        ):
+            endpoints = [each for each in source if self._is_allowed(each, residency)]
+            selection = _Selection(source, version, endpoints)
+            self._store_selection(service, residency, selection)
+        return selection.endpoints
+
+    def contains(self, endpoint: Endpoint, residency: Residency) -> bool:
+        """Whether a request may still be sent to an endpoint that was chosen before."""
+        known = self._view.get(endpoint.id)
+        return (
+            known is not None
+            and not known.leaving
+            and self._is_allowed(endpoint, residency)
+        )
+
+    def _store_selection(
+        self, service: str, residency: Residency, selection: _Selection
+    ) -> None:
+        if len(self._selections) >= MAX_SELECTIONS:
+            self._selections.clear()
+        self._selections[service, residency] = selection
+
+    def _is_allowed(self, endpoint: Endpoint, residency: Residency) -> bool:
+        return endpoint.zone not in self._drained_zones and residency.allows(
+            self._zones.get(endpoint.zone)
+        )
--- a/packages/fleet/src/teaselledge_fleet/process/gossip.py
+++ b/packages/fleet/src/teaselledge_fleet/process/gossip.py
@@ -11,6 +11,7 @@
     Pulse,
     RouterInfo,
     WholeState,
+    ZoneState,
 )
 
 from teaselledge_fleet.connection.codec import PROTOCOL
@@ -31,6 +32,7 @@
 from teaselledge_fleet.process.admissionrpc import PeerTransport
 from teaselledge_fleet.process.advertised import AdvertisedLog
 from teaselledge_fleet.process.coordinators import Coordinators
+from teaselledge_fleet.process.drains import ZoneDrain
 from teaselledge_fleet.process.endpoints import AnnouncementId, Endpoint, EndpointEntry
 from teaselledge_fleet.process.forwarding import (
     Delivery,
@@ -205,11 +207,12 @@
             self._members.own.to_wire(),
             store_cache.version,
             store_cache.configuration,
-            store_cache.view.digest,
+            store_cache.digest,
             _to_milliseconds(store_cache.age),
-            [_to_wire(entry) for entry in store_cache.view],
+            [self._entry_to_wire(entry) for entry in store_cache.view],
             [report.to_wire() for report in self._members.reports],
             store_cache.era,
+            [_drain_to_wire(drain) for drain in store_cache.drained_zones],
         )
 
     async def fetch_snapshot(self, address: str) -> bool:
@@ -262,7 +265,14 @@
         ]
         if later:
             self._wake.set()
-        return [_to_wire(entry) for entry, _ in now]
+        return [self._entry_to_wire(entry) for entry, _ in now]
+
+    def _entry_to_wire(self, entry: EndpointEntry) -> EndpointState:
+        state = _to_wire(entry)
+        if entry.endpoint is not None:
+            warmup_seconds = self._store_cache.warmup.announced_seconds(entry.endpoint)
+            state.warmup_ms = int(warmup_seconds * 1000) or None
+        return state
 
     def _totals_due(self) -> bool:
         """Whether it is time for an aggregator to send its totals."""
@@ -286,7 +296,7 @@
             members.own.to_wire(),
             self._sequence,
             store_cache.version,
-            store_cache.view.digest,
+            store_cache.digest,
             _to_milliseconds(store_cache.age),
             store_cache.poller,
             changes,
@@ -298,6 +308,7 @@
                 member.to_wire() for member in self._coordinators_to_send(scope)
             ],
             era=store_cache.era,
+            zones=[_drain_to_wire(d) for d in store_cache.recent_drains] or None,
         )
         if alive:
             marks = [self._totals.mark(peer.vm) for peer in alive]
@@ -382,13 +393,7 @@
         )
         store_cache = self._store_cache
         before = store_cache.as_of
-        current = self._update_era(heartbeat.era, sender.vm)
-        if heartbeat.changes:
-            store_cache.merge_entries(map(_from_wire, heartbeat.changes), sender.vm)
-        if current and heartbeat.store_age is not None and heartbeat.store_age >= 0:
-            store_cache.update_age(
-                heartbeat.digest, heartbeat.store_age / 1000, heartbeat.follower or ""
-            )
+        self._apply_changes(sender, heartbeat)
         self._apply_statuses(sender, heartbeat)
         if heartbeat.work is not None or heartbeat.uses is not None:
             self._apply_load(sender, heartbeat)
@@ -402,6 +407,19 @@
         if self._is_behind(heartbeat):
             self._fetch(sender)
 
+    def _apply_changes(self, sender: Member, heartbeat: Pulse) -> None:
+        """Apply the changes of the store that a heartbeat reports, and its age."""
+        store_cache = self._store_cache
+        current = self._update_era(heartbeat.era, sender.vm)
+        if heartbeat.changes:
+            store_cache.merge_entries(map(_from_wire, heartbeat.changes), sender.vm)
+        if heartbeat.zones:
+            store_cache.merge_drains(map(_drain_from_wire, heartbeat.zones), sender.vm)
+        if current and heartbeat.store_age is not None and heartbeat.store_age >= 0:
+            store_cache.update_age(
+                heartbeat.digest, heartbeat.store_age / 1000, heartbeat.follower or ""
+            )
+
     def _update_era(self, era: int | None, source: str) -> bool:
         """Apply a router's store era; False if the store was restored since then."""
         return era is None or self._store_cache.update_era(era, source)
@@ -487,10 +505,7 @@
         store_cache = self._store_cache
         if (heartbeat.version or 0) > store_cache.version:
             return True
-        if (
-            heartbeat.digest == store_cache.view.digest
-            or (heartbeat.store_age or -1) < 0
-        ):
+        if heartbeat.digest == store_cache.digest or (heartbeat.store_age or -1) < 0:
             return False
         age = store_cache.age
         return age is None or heartbeat.store_age / 1000 < age
@@ -516,6 +531,7 @@
         if state.configuration and (state.version or 0) > store_cache.version:
             store_cache.update_configuration(state.configuration, vm)
         store_cache.merge_entries(map(_from_wire, state.endpoints or ()), vm)
+        store_cache.merge_drains(map(_drain_from_wire, state.zones or ()), vm)
         if current and state.store_age is not None and state.store_age >= 0:
             store_cache.update_age(state.digest, state.store_age / 1000, vm)
         self._members.merge_report(MemberReport(Member.from_wire(state.sender), 0.0))
@@ -563,7 +579,19 @@
         state.zone or "",
         state.slots or 1,
         bool(state.leaving),
+        warmup_seconds=(state.warmup_ms or 0) / 1000,
         started_ms=announcement_id.started_ms,
         sequence=announcement_id.sequence,
     )
     return EndpointEntry(state.id, revision, endpoint, announcement_id)
+
+
+def _drain_to_wire(drain: ZoneDrain) -> ZoneState:
+    return ZoneState(
+        drain.zone, drain.revision.number, drain.revision.era, drain.drained
+    )
+
+
+def _drain_from_wire(state: ZoneState) -> ZoneDrain:
+    revision = Revision(state.era or 0, state.revision or 0)
+    return ZoneDrain(state.zone, revision, bool(state.drained))
--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -19,6 +19,8 @@
 )
 from teaselledge_fleet.process.directory import PrefixDirectory
 from teaselledge_fleet.process.distance import Distance
+from teaselledge_fleet.process.drains import DrainedZones
+from teaselledge_fleet.process.eligibility import EligibleEndpoints
 from teaselledge_fleet.process.endpoints import Endpoint, EndpointView
 from teaselledge_fleet.process.forecast import engine_queue_wait
 from teaselledge_fleet.process.prefill import PREFILL_TIME_FRACTION
@@ -26,6 +28,7 @@
 from teaselledge_fleet.process.results import OutlierDetector
 from teaselledge_fleet.process.shares import OrganisationShares, ShareStatus
 from teaselledge_fleet.process.waiting import QueueWaitLimits
+from teaselledge_fleet.process.warmup import GRANT_SECONDS, WarmupTracker
 from teaselledge_fleet.process.work import EndpointLoad, FleetLoad, name_hash
 from teaselledge_fleet.request.call import CallerRequest, Prompt
 from teaselledge_fleet.request.context import Outcome, Placement, RequestContext
@@ -55,6 +58,12 @@
 after another. A request for which three of its best endpoints have no room is unlikely
 to be served in time."""
 
+MAX_PLAIN_WAIT_SECONDS = 60.0
+"""Queueing time of plain requests in queries; their coordinators don't limit it."""
+
+SUSPECT_OUTCOMES = frozenset({Outcome.UNSENT, Outcome.LOST, Outcome.BROKEN})
+"""Outcomes of attempts at an endpoint that restarts, among others."""
+
 MIN_RETRY_AFTER_SECONDS = 0.3
 MAX_RETRY_AFTER_SECONDS = 1.2
 """Range from which the Retry-After of refused callers is drawn uniformly.
@@ -79,24 +88,34 @@
         Loop time at which it was sent.
     wait : float
         Expected queueing time, in seconds.
+    granted : bool
+        Whether the endpoint's coordinator admitted it.
     """
 
     prefill_seconds: float
     sent_at: float
     wait: float = 0.0
+    granted: bool = False
 
 
 class AdmissionCheck(Protocol):
     """Checks with the coordinator whether a prompt may be sent to an endpoint."""
 
     async def __call__(
-        self, endpoint: Endpoint, prefill_seconds: float, max_wait: float
+        self,
+        endpoint: Endpoint,
+        prefill_seconds: float,
+        max_wait: float,
+        warmup_rate: int | None = None,
     ) -> AdmissionDecision | None:
         """Return the decision; None if no reply arrived in time."""
 
 
 async def _skip_admission_check(
-    endpoint: Endpoint, prefill_seconds: float, max_wait: float
+    endpoint: Endpoint,
+    prefill_seconds: float,
+    max_wait: float,
+    warmup_rate: int | None = None,
 ) -> AdmissionDecision | None:
     return None
 
@@ -137,10 +156,23 @@
         This router's zone.
     zones : mapping of str to str
         Region of each zone.
+    drained_zones : DrainedZones, optional
+        Zones whose endpoints get no new requests.
+    warmup : WarmupTracker, optional
+        Endpoints that are warming up.
     """
 
-    def __init__(self, view: EndpointView, zone: str, zones: Mapping[str, str]) -> None:
+    def __init__(
+        self,
+        view: EndpointView,
+        zone: str,
+        zones: Mapping[str, str],
+        drained_zones: DrainedZones | None = None,
+        warmup: WarmupTracker | None = None,
+    ) -> None:
+        self._warmup = warmup or WarmupTracker()
         self._view = view
+        self._eligible = EligibleEndpoints(view, zones, drained_zones or DrainedZones())
         self._distance = Distance(zone, zones)
         self._load = FleetLoad()
         self._shares = OrganisationShares()
@@ -189,21 +221,49 @@
 
     async def place(self, context: RequestContext) -> Result[Placement, Fault]:
         """Return the endpoint for the next attempt."""
+        if context.residency.regions == frozenset():
+            return Error(Fault(FaultKind.NO_ALLOWED_REGION))
         prompt = context.request.prompt
         endpoints = self._available_endpoints(context)
         if not endpoints:
             return Error(Fault(FaultKind.NO_ENDPOINT, 0.5))
         if prompt is None:
-            best = self._chooser.best_plain_endpoint(context, endpoints)
-            self._record_attempt(context, best)
-            return Ok(self._placement(context, best))
+            return await self._place_plain(context, endpoints)
         requirements = await self._requirements(context, endpoints)
         if context.send_count:
-            best = self._chooser.rank_engines(context, requirements)[0]
-            self._record_attempt(context, best)
-            return Ok(self._placement_of_prompt(context, best, requirements))
+            best = self._rank_engines(context, requirements)[0]
+            if self._warmup.rate(best.endpoint) is None:
+                self._record_attempt(context, best)
+                return Ok(self._placement_of_prompt(context, best, requirements))
         return await self._place_prompt(context, requirements)
 
+    async def _place_plain(
+        self, context: RequestContext, endpoints: list[Endpoint]
+    ) -> Result[Placement, Fault]:
+        """Place a request of a plain service, if possible on a warm endpoint."""
+        warm = [each for each in endpoints if self._warmup.rate(each) is None]
+        if warm:
+            best = self._chooser.best_plain_endpoint(context, warm)
+            self._record_attempt(context, best)
+            return Ok(self._placement(context, best))
+        for _ in range(min(MAX_ADMISSION_QUERIES, len(endpoints))):
+            best = self._chooser.best_plain_endpoint(context, endpoints)
+            granted = await self._admit(context, best, MAX_PLAIN_WAIT_SECONDS)
+            if granted is not None:
+                return Ok(self._placement(context, granted))
+            endpoints = [each for each in endpoints if each is not best.endpoint]
+        return Error(Fault(FaultKind.NO_ENDPOINT, self._retry_after(context, False)))
+
+    def _rank_engines(
+        self, context: RequestContext, requirements: PromptRequirements
+    ) -> list[Candidate]:
+        """Return the candidate engines, lowest cost first, those warming up last."""
+        candidates = self._chooser.rank_engines(context, requirements)
+        return sorted(candidates, key=lambda each: self._is_limited(each.endpoint))
+
+    def _is_limited(self, endpoint: Endpoint) -> bool:
+        return self._warmup.rate(endpoint) is not None
+
     async def _requirements(
         self, context: RequestContext, endpoints: list[Endpoint]
     ) -> PromptRequirements:
@@ -240,7 +300,7 @@
             context.route, context.service, share_status
         )
         queried: set[str] = set()
-        best = self._chooser.rank_engines(context, requirements)[0]
+        best = self._rank_engines(context, requirements)[0]
         while len(queried) < MAX_ADMISSION_QUERIES:
             queried.add(best.endpoint.id)
             remaining_wait = context.arrived_at + max_wait - self._now()
@@ -249,9 +309,10 @@
                 return Ok(self._placement_of_prompt(context, admitted, requirements))
             with_room = [
                 candidate
-                for candidate in self._chooser.rank_engines(context, requirements)
+                for candidate in self._rank_engines(context, requirements)
                 if candidate.endpoint.id not in queried
                 and candidate.wait <= remaining_wait
+                and not self._warmup.recently_denied(candidate.endpoint)
             ]
             if not with_room:
                 break
@@ -284,30 +345,36 @@
         """Query the endpoint's coordinator whether a request may be sent there.
 
         Without a reply in time, the request is admitted if the queueing time estimated
-        by this router is within `max_wait`. The request counts as load at the endpoint
-        during the query, and afterwards if it is admitted.
+        by this router is within `max_wait`, and the endpoint is not warming up. The
+        request counts as load at the endpoint during the query, and afterwards if it is
+        admitted.
 
         Returns the candidate, its queueing time computed from the coordinator's reply
         if there is one; None if the request is not admitted.
         """
         name = best.endpoint.id
+        warmup_rate = self._warmup.rate(best.endpoint)
         self._record_attempt(context, best)
         admitted = None
         try:
             decision = await self._check_admission(
-                best.endpoint, best.prefill_seconds, max_wait
+                best.endpoint, best.prefill_seconds, max_wait, warmup_rate
             )
             if decision is None:
-                admitted = best if best.wait <= max_wait else None
+                if best.wait <= max_wait and warmup_rate is None:
+                    admitted = best
                 return admitted
+            if warmup_rate is not None and not decision.admitted:
+                self._warmup.record_denial(best.endpoint)
             self._load.record_remote(name, decision.remote_load)
             if decision.admitted:
                 own_request = EndpointLoad(1, best.prefill_seconds)
                 before = self._load.total(name).subtract(own_request)
                 wait = engine_queue_wait(before, best.endpoint.slots)
                 admitted = replace(best, wait=wait)
-                sent = _SentRequest(best.prefill_seconds, self._now(), wait)
-                self._sent[context.request.id, name] = sent
+                self._sent[context.request.id, name] = _SentRequest(
+                    best.prefill_seconds, self._now(), wait, granted=True
+                )
             return admitted
         finally:
             # also if the caller disconnects before the reply arrives
@@ -339,10 +406,18 @@
             )
         return self._placement(context, best)
 
-    def accepts_requests(self, endpoint: Endpoint) -> bool:
-        """Whether an endpoint is still known and not leaving."""
-        known = self._view.get(endpoint.id)
-        return known is not None and not known.leaving
+    def may_send(self, context: RequestContext, endpoint: Endpoint) -> bool:
+        """Whether a request may still be sent to the endpoint that was chosen."""
+        if not self._eligible.contains(endpoint, context.residency):
+            return False
+        if not self._is_limited(endpoint):
+            return True
+        sent = self._sent.get((context.request.id, endpoint.id))
+        return (
+            sent is not None
+            and sent.granted
+            and self._now() - sent.sent_at <= GRANT_SECONDS
+        )
 
     def on_response_started(self, context: RequestContext, endpoint: Endpoint) -> None:
         """Record the beginning of a response."""
@@ -372,6 +447,8 @@
     ) -> None:
         """Record the end of an attempt."""
         self._remove_attempt(context, endpoint)
+        if outcome in SUSPECT_OUTCOMES:
+            self._warmup.suspect(endpoint)
         if outcome is Outcome.UNSENT:
             self._outliers.record_connect_failure(endpoint.id)
         elif outcome is Outcome.WHOLE:
@@ -394,11 +471,14 @@
         names = {endpoint.id for endpoint in self._view.endpoints}
         self._load.retain_endpoints(names)
         self._outliers.retain_endpoints(names)
+        self._warmup.retain_endpoints(names)
 
     def _available_endpoints(self, context: RequestContext) -> list[Endpoint]:
         untried = [
             endpoint
-            for endpoint in self._view.of_service(context.service)
+            for endpoint in self._eligible.of_service(
+                context.service, context.residency
+            )
             if endpoint.id not in context.attempted_endpoints
         ]
         reachable = [e for e in untried if not self._outliers.is_ejected(e.id)]
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -12,7 +12,7 @@
 from teaselledge_fleet.connection.peers import STATE_PATH, PeerSocket
 from teaselledge_fleet.connection.pool import ConnectionPool
 from teaselledge_fleet.log import get_log
-from teaselledge_fleet.process.addresses import addresses_for
+from teaselledge_fleet.process.addresses import RegionCoverage, addresses_for
 from teaselledge_fleet.process.admission import AdmissionController
 from teaselledge_fleet.process.admissionrpc import AdmissionRpc
 from teaselledge_fleet.process.budget import RetryBudget, RetryLimits
@@ -32,8 +32,10 @@
 from teaselledge_fleet.process.store import StateStore
 from teaselledge_fleet.process.storecache import Decode, StoreCache
 from teaselledge_fleet.process.storepoller import StorePoller
+from teaselledge_fleet.process.warmup import WarmupTracker
 from teaselledge_fleet.request.call import HeaderCodec
 from teaselledge_fleet.request.serving import RequestProxy
+from teaselledge_fleet.version.residency import ANYWHERE
 from teaselledge_fleet.version.routes import CallerLimits
 
 __all__ = ["FleetRouter", "PageFormats"]
@@ -112,10 +114,17 @@
         self._members = Members(own)
         self._event_loop = EventLoopMonitor(settings.cores)
         self._event_loop.on_tick = self._update_utilisation
-        self._store_cache = StoreCache(place.vm, decode)
+        warmup = WarmupTracker(settings.warmup_rate_factor, settings.warmup_rate_extra)
+        self._store_cache = StoreCache(place.vm, decode, warmup)
         self._pool = ConnectionPool()
         self._budget = RetryBudget(_retry_limits(settings))
-        self._placer = FleetPlacer(self._store_cache.view, place.zone, settings.zones)
+        self._placer = FleetPlacer(
+            self._store_cache.view,
+            place.zone,
+            settings.zones,
+            self._store_cache.drained_zones,
+            warmup,
+        )
         self._placer.set_sample_filter(lambda at: self._event_loop.responsive_since(at))
         self._metrics = FleetMetrics()
         self._server = RequestProxy(
@@ -135,6 +144,7 @@
         acceptor = self._front.acceptor
         acceptor.version = lambda: self._store_cache.version
         self._offloader = ConnectionOffloader(self._members)
+        self._region_coverage = RegionCoverage(settings.zones)
         acceptor.choose_relay_target = self._choose_relay_target
         self._offload_limiter = OffloadLimiter()
         acceptor.peers_have_capacity = lambda: self._offload_limiter.allowed
@@ -149,6 +159,7 @@
         self._registration = Registration(store, self._members, self._store_cache)
         self._socket = PeerSocket()
         admission = AdmissionController()
+        admission.warmup_rate = warmup.rate_by_hash
         coordinators = Coordinators(self._members)
         self._placer.load.coordinated_load = admission.total_load
         self._admission_rpc = AdmissionRpc(
@@ -238,6 +249,7 @@
     def _update_utilisation(self) -> None:
         """Report this router's utilisation, and adapt its limit of connections."""
         self._members.set_utilisation(self._event_loop.utilisation)
+        self._region_coverage.update(self._members.ready)
         self._offload_limiter.start_tick()
         longest, utilisation = (
             self._event_loop.pop_longest_iteration(),
@@ -260,8 +272,22 @@
         if self._server.leaving:
             # a connection offloaded now might not end before this router stops
             return None
+        if not self._may_relay():
+            return None
         return self._offloader.choose(self._event_loop)
 
+    def _may_relay(self) -> bool:
+        """Whether the requests of a new connection may be sent to this region's VMs.
+
+        A connection is relayed unread. A caller of another region connects to this
+        router only if its region has no ready router; then its requests must stay at
+        the VM that it connected to, unless all of them are allowed in this region.
+        """
+        routing = self._server.routing
+        if routing is None or routing.residency.allows(self._settings.place.region):
+            return True
+        return self._region_coverage.complete
+
     def _record_offload(self, router: str) -> None:
         self._offload_limiter.record_offload()
         self._offloader.record_offload(router)
@@ -314,8 +340,10 @@
             # its own delay makes other routers look silent; the caller tries another
             return Page(503)
         zone, region = self._pages.caller_location(arguments)
+        routing = self._server.routing
+        residency = routing.residency if routing is not None else ANYWHERE
         addresses = addresses_for(
-            self._members.ready, self._settings.zones, zone, region
+            self._members.ready, self._settings.zones, zone, region, residency
         )
         if not addresses:
             return Page(503)
--- a/packages/fleet/src/teaselledge_fleet/process/settings.py
+++ b/packages/fleet/src/teaselledge_fleet/process/settings.py
@@ -86,6 +86,8 @@
         Time after which a leaving endpoint must get no new requests.
     beat_seconds : float
         Time between two writes of an endpoint's row.
+    warmup_rate_factor, warmup_rate_extra : float or None
+        Limit of the requests to an endpoint that warms up; see `WarmupTracker`.
     """
 
     place: Place
@@ -104,3 +106,5 @@
     share_window: float = 4.0
     drain_seconds: float = 2.5
     beat_seconds: float = 1.2
+    warmup_rate_factor: float | None = None
+    warmup_rate_extra: float | None = None
--- a/packages/fleet/src/teaselledge_fleet/process/store.py
+++ b/packages/fleet/src/teaselledge_fleet/process/store.py
@@ -6,6 +6,7 @@
 
 from expression import Result
 
+from teaselledge_fleet.process.drains import ZoneDrain
 from teaselledge_fleet.process.endpoints import EndpointEntry
 from teaselledge_fleet.process.revision import Revision
 
@@ -59,10 +60,16 @@
         Revision of the store up to which there is no newer configuration.
     data : bytes or None
         The content; None if it did not change since the requested revision.
+    drains : tuple of ZoneDrain
+        Zones that were drained or taken back since the requested revision.
+    complete : bool
+        Whether the drains are those of all drained zones.
     """
 
     revision: Revision
     data: bytes | None
+    drains: tuple[ZoneDrain, ...] = ()
+    complete: bool = False
 
 
 class StateStore(Protocol):
--- a/packages/fleet/src/teaselledge_fleet/process/storecache.py
+++ b/packages/fleet/src/teaselledge_fleet/process/storecache.py
@@ -6,9 +6,11 @@
 from dataclasses import replace
 
 from teaselledge_fleet.log import get_log
+from teaselledge_fleet.process.drains import DrainedZones, ZoneDrain
 from teaselledge_fleet.process.endpoints import EndpointEntry, EndpointView
 from teaselledge_fleet.process.revision import Revision
-from teaselledge_fleet.process.store import EndpointRows
+from teaselledge_fleet.process.store import EndpointRows, StoredConfiguration
+from teaselledge_fleet.process.warmup import WarmupTracker
 from teaselledge_fleet.version.routes import RoutingConfiguration
 
 __all__ = ["StoreCache"]
@@ -42,6 +44,10 @@
 """Minimum by which a reported age must be lower to be applied. A smaller difference
 means that another router returned this router's own value."""
 
+RECENT_DRAIN_SECONDS = 3.0
+"""Time for which heartbeats report that a zone was taken back. A router that misses all
+of them notices that its state is older, and fetches a newer one."""
+
 MAX_DELETED_ENTRIES = 200
 """Maximum of entries of deleted endpoints that are retained, so that outdated messages
 can't add these endpoints again."""
@@ -59,6 +65,10 @@
     ----------
     view : EndpointView
         Entries of the endpoints.
+    drained_zones : DrainedZones
+        Zones whose endpoints get no new requests.
+    warmup : WarmupTracker
+        Endpoints that are warming up.
     routing : RoutingConfiguration or None
         Decoded configuration in force; its version never decreases.
     configuration : bytes
@@ -71,10 +81,14 @@
         Called after each change.
     """
 
-    def __init__(self, vm: str, decode: Decode) -> None:
+    def __init__(
+        self, vm: str, decode: Decode, warmup: WarmupTracker | None = None
+    ) -> None:
         self._vm = vm
         self._decode = decode
+        self.warmup = warmup or WarmupTracker()
         self.view = EndpointView()
+        self.drained_zones = DrainedZones()
         self.routing: RoutingConfiguration | None = None
         self.configuration = b""
         self.poller = ""
@@ -85,12 +99,38 @@
         self._returned_at: float | None = None
         self._era_changed_at = -math.inf
         self._changes: list[EndpointEntry] = []
+        self._drain_changed_at: dict[str, float] = {}
+        """Loop time at which each zone was drained or taken back."""
 
     @property
     def version(self) -> int:
         """Version of the configuration in force, 0 without one."""
         return self.routing.version if self.routing is not None else 0
 
+    @property
+    def digest(self) -> int:
+        """Hash of the endpoints and the drained zones; equal caches have equal ones."""
+        return self.view.digest ^ self.drained_zones.digest
+
+    @property
+    def recent_drains(self) -> list[ZoneDrain]:
+        """Drains in force, and those that ended a moment ago."""
+        oldest = self._now() - RECENT_DRAIN_SECONDS
+        return [
+            drain
+            for drain in self.drained_zones
+            if drain.drained or self._drain_changed_at.get(drain.zone, 0.0) >= oldest
+        ]
+
+    @property
+    def settling(self) -> bool:
+        """Whether a store outage or a restore has just ended.
+
+        Rows that are missing may be written again in a moment.
+        """
+        returned = self._returned_at
+        return returned is not None and self._now() - returned < SETTLE_SECONDS
+
     @property
     def as_of(self) -> float | None:
         """Loop time at which the cached endpoints last matched the store."""
@@ -118,6 +158,7 @@
         )
         self.routing = routing
         self.configuration = data
+        self.warmup.apply_routing(routing)
         self._notify()
         return True
 
@@ -148,7 +189,7 @@
         updates = [self._confirmed(entry, rows.revision) for entry in fresh]
         for entry in self.view:
             if entry.endpoint is not None and entry.id not in present:
-                if self._is_settling():
+                if self.settling:
                     continue
                 updates.append(
                     entry.as_deleted(max(rows.revision, entry.revision.next()))
@@ -161,6 +202,33 @@
         """Merge entries that another router sent."""
         self._merge(entries, source)
 
+    def update_drains(self, read: StoredConfiguration) -> None:
+        """Apply the drains that this router read from the store."""
+        drains = list(read.drains)
+        if read.complete and not self.settling:
+            present = {drain.zone: drain for drain in drains}
+            drains += self.drained_zones.missing_from(present, read.revision)
+        self.merge_drains(drains, "store")
+
+    def merge_drains(self, drains: Iterable[ZoneDrain], source: str) -> None:
+        """Merge drains that were read or that another router sent."""
+        changed = self.drained_zones.merge(drains)
+        if not changed:
+            return
+        for drain in changed:
+            self._drain_changed_at[drain.zone] = self._now()
+            if not drain.drained:
+                self.warmup.suspect_zone(drain.zone, self.view.endpoints)
+            _log.info(
+                "zone drained" if drain.drained else "zone taken back",
+                zone=drain.zone,
+                revision=drain.revision.number,
+                era=drain.revision.era,
+                source=source,
+                store_age=self.age,
+            )
+        self._notify()
+
     def _confirmed(self, row: EndpointEntry, newest: Revision) -> EndpointEntry:
         """Return a row's entry, with a new revision if it overrides the known entry.
 
@@ -185,13 +253,13 @@
         Parameters
         ----------
         digest : int
-            Digest of the other router's view.
+            Digest of the other router's cache.
         age : float
             Age of that view in seconds.
         poller : str
             VM of the router that read the store.
         """
-        if digest != self.view.digest:
+        if digest != self.digest:
             return
         as_of = self._now() - age
         if poller != self._vm:
@@ -226,7 +294,9 @@
         return changes
 
     def _merge(self, entries: Iterable[EndpointEntry], source: str) -> None:
-        changed = self.view.merge(entries)
+        merged = list(entries)
+        changed = self.view.merge(merged)
+        changed += self._extend_warmups(merged, changed)
         if not changed:
             return
         for entry in changed:
@@ -240,12 +310,27 @@
                 service=endpoint.service if endpoint else None,
                 address=endpoint.address if endpoint else None,
                 leaving=endpoint.leaving if endpoint else None,
+                warmup_seconds=endpoint.warmup_seconds if endpoint else None,
                 gone=endpoint is None,
             )
         self._changes += changed
         self.view.prune(MAX_DELETED_ENTRIES)
         self._notify()
 
+    def _extend_warmups(
+        self, merged: Iterable[EndpointEntry], changed: Iterable[EndpointEntry]
+    ) -> list[EndpointEntry]:
+        """Record announced warm-ups; return the entries that changed by them only."""
+        changed_names = {entry.id for entry in changed}
+        return [
+            entry
+            for entry in merged
+            if entry.endpoint is not None
+            and self.view.get(entry.id) == entry.endpoint
+            and self.warmup.record_announcement(entry.endpoint)
+            and entry.id not in changed_names
+        ]
+
     def _advance(self, as_of: float) -> None:
         """Record the time at which the cached endpoints matched the store."""
         before = self._as_of
@@ -256,11 +341,6 @@
             self._returned_at = self._now()
         self._as_of = as_of
 
-    def _is_settling(self) -> bool:
-        """Whether a store outage or a restore has just ended."""
-        returned = self._returned_at
-        return returned is not None and self._now() - returned < SETTLE_SECONDS
-
     def _notify(self) -> None:
         for listener in self.on_change:
             listener()
--- a/packages/fleet/src/teaselledge_fleet/process/storepoller.py
+++ b/packages/fleet/src/teaselledge_fleet/process/storepoller.py
@@ -143,10 +143,14 @@
         ):
             # it is read again after the next change or restart
             _log.error("configuration can't be decoded", revision=found.revision.number)
+        self._store_cache.update_drains(found)
         self._revision = max(self._revision or found.revision, found.revision)
+        if found.complete and self._store_cache.settling:
+            # rows that are still missing may have been lost or deleted
+            self._revision = None
         # a store that responds without waiting must not be called in a tight loop
         left = started + PERIOD_SECONDS / 2 - asyncio.get_running_loop().time()
-        if found.data is None and left > 0:
+        if left > 0 and (found.data is None or self._revision is None):
             await asyncio.sleep(left)
         return True
 
--- a/packages/fleet/src/teaselledge_fleet/request/context.py
+++ b/packages/fleet/src/teaselledge_fleet/request/context.py
@@ -9,6 +9,7 @@
 from teaselledge_fleet.faults import Fault
 from teaselledge_fleet.process.endpoints import Endpoint
 from teaselledge_fleet.request.call import CallerRequest
+from teaselledge_fleet.version.residency import ANYWHERE, Residency
 from teaselledge_fleet.version.routes import Organisation, Route
 
 __all__ = ["RequestContext", "Outcome", "Placement", "Placer"]
@@ -24,7 +25,10 @@
     """The endpoint did not run the request, or no endpoint could be chosen."""
 
     UNSENT = auto()
-    """The request was not sent: connecting failed, or the endpoint started leaving."""
+    """The request was not sent: connecting failed."""
+
+    WITHDRAWN = auto()
+    """The request was not sent: the endpoint may no longer be used."""
 
     LOST = auto()
     """The request was sent without a usable response: it may have run."""
@@ -71,6 +75,8 @@
         Version of the configuration under which the request was admitted.
     prefill_seconds : float
         Expected time that the engine needs for the prompt, in seconds.
+    residency : Residency
+        Regions in which the request may be served.
     """
 
     request: CallerRequest
@@ -87,6 +93,7 @@
     longest_event_gap: float = 0.0
     version: int = 0
     prefill_seconds: float = 0.0
+    residency: Residency = ANYWHERE
 
     @property
     def organisation_name(self) -> str:
@@ -128,8 +135,8 @@
     async def place(self, context: RequestContext) -> Result[Placement, Fault]:
         """Return the endpoint for the next attempt, or why there is none."""
 
-    def accepts_requests(self, endpoint: Endpoint) -> bool:
-        """Whether an endpoint still exists and is not leaving."""
+    def may_send(self, context: RequestContext, endpoint: Endpoint) -> bool:
+        """Whether a request that was placed at an endpoint may still be sent to it."""
 
     def on_response_started(self, context: RequestContext, endpoint: Endpoint) -> None:
         """Record that an endpoint began to respond."""
--- a/packages/fleet/src/teaselledge_fleet/request/serving.py
+++ b/packages/fleet/src/teaselledge_fleet/request/serving.py
@@ -36,6 +36,7 @@
     RetryPolicy,
     Route,
     RoutingConfiguration,
+    request_residency,
 )
 
 __all__ = ["RequestProxy"]
@@ -48,6 +49,8 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that promise to the caller that its request has not run."""
 
+NOT_SENT_OUTCOMES = frozenset({Outcome.UNSENT, Outcome.WITHDRAWN})
+
 LEAVING_RETRY_SECONDS = 0.05
 """Short, as another router can accept the request immediately."""
 
@@ -166,6 +169,7 @@
                 received.arrived_at,
                 received.arrived_at + time_limit,
                 version=routing.version,
+                residency=request_residency(route, organisation),
             )
         )
 
@@ -262,13 +266,13 @@
             return Outcome.UNSENT
         if self._writer.disconnected:
             return Outcome.ABANDONED
-        if not proxy._placer.accepts_requests(endpoint):
-            _log.info("endpoint left", id=context.request.id, endpoint=endpoint.id)
-            return Outcome.UNSENT
         rejection = self._configuration_fault()
         if rejection is not None:
             await self._fail(rejection)
             return Outcome.ABANDONED
+        if not proxy._placer.may_send(context, endpoint):
+            _log.info("endpoint left", id=context.request.id, endpoint=endpoint.id)
+            return Outcome.WITHDRAWN
         if context.send_count == 0:
             proxy._budget.record_first_attempt(context.service)
         context.send_count += 1
@@ -304,15 +308,18 @@
 
         A blocked router may send a request seconds after placing it. Without this
         check callers would see an old version in force, and engines would get requests
-        of deleted routes.
+        of deleted routes. The residency of the newer version replaces the earlier one.
         """
         context, routing = self._context, self._proxy.routing
-        if routing is None or routing.version == context.version or context.send_count:
+        if routing is None or routing.version == context.version:
             return None
         resolved = resolve_route(routing, context.request)
         if resolved.is_error():
-            return resolved.error
-        route, _ = resolved.ok
+            return None if context.send_count else resolved.error
+        route, organisation = resolved.ok
+        context.residency = request_residency(route, organisation)
+        if context.send_count:
+            return None
         if all(target.service != context.service for target in route.targets):
             return Fault(FaultKind.NOT_CONFIGURED, STARTING_RETRY_SECONDS)
         return None
@@ -426,14 +433,14 @@
     def _should_retry(self, outcome: Outcome) -> bool:
         if self._writer.finished or not self._may_retry(outcome):
             return False
-        if outcome is Outcome.UNSENT:
+        if outcome in NOT_SENT_OUTCOMES:
             return True
         return self._proxy._budget.try_acquire(self._context.service)
 
     def _may_retry(self, outcome: Outcome) -> bool:
         context = self._context
         route = context.route
-        if outcome is Outcome.UNSENT:
+        if outcome in NOT_SENT_OUTCOMES:
             return (
                 len(context.attempted_endpoints) - context.send_count
                 < MAX_FAILED_CONNECTS
@@ -448,7 +455,7 @@
         context = self._context
         if context.may_have_run:
             return Fault(FaultKind.ENDPOINT_FAILED)
-        if outcome is Outcome.UNSENT:
+        if outcome in NOT_SENT_OUTCOMES:
             return Fault(FaultKind.NO_ENDPOINT, 0.3)
         return Fault(FaultKind.ENDPOINT_DECLINED, 0.3)
 
--- a/packages/fleet/src/teaselledge_fleet/version/routes.py
+++ b/packages/fleet/src/teaselledge_fleet/version/routes.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from teaselledge_fleet.version.residency import ANYWHERE, Residency
+
 __all__ = [
     "CallerLimits",
     "Organisation",
@@ -12,6 +14,7 @@
     "RoutingConfiguration",
     "ServiceConfiguration",
     "Target",
+    "request_residency",
 ]
 
 
@@ -73,6 +76,8 @@
         Whether requests need no key.
     targets : tuple of Target
         Services to which the requests are sent.
+    residency : Residency
+        Regions in which the requests may be served.
     """
 
     name: str
@@ -88,6 +93,7 @@
     priority: int
     public: bool
     targets: tuple[Target, ...]
+    residency: Residency = ANYWHERE
 
     def choose_service(self, fraction: float) -> str:
         """Return the service for a request, given a number in [0, 1)."""
@@ -111,11 +117,17 @@
         Path of the endpoints' health check.
     max_connections : int
         Number of connections that one endpoint accepts from all routers together.
+    warmup_seconds : float
+        Time after its start in which an endpoint tolerates fewer requests.
+    warmup_requests_per_second : float
+        Requests a second that it tolerates then.
     """
 
     name: str
     health_path: str
     max_connections: int
+    warmup_seconds: float = 0.0
+    warmup_requests_per_second: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -130,11 +142,14 @@
         Bearer keys.
     priority : int or None
         Overrides the priority of the route.
+    residency : Residency
+        Regions in which the requests of its callers may be served.
     """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None = None
+    residency: Residency = ANYWHERE
 
 
 @dataclass(frozen=True)
@@ -192,9 +207,21 @@
         organisation_by_key = {
             key: org for org in self.organisations for key in org.keys
         }
+        residency = ANYWHERE
+        for route in self.routes:
+            residency = residency.intersect(route.residency)
+        for organisation in self.organisations:
+            residency = residency.intersect(organisation.residency)
+        object.__setattr__(self, "_residency", residency)
         object.__setattr__(self, "_by_host", routes_by_host)
         object.__setattr__(self, "_holders", organisation_by_key)
 
+    @property
+    def residency(self) -> Residency:
+        """Regions in which every request may be served, whatever its route and key."""
+        residency: Residency = self._residency  # type: ignore[attr-defined]
+        return residency
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, None if none matches."""
         routes_by_host: dict[str, list[Route]] = self._by_host  # type: ignore[attr-defined]
@@ -207,3 +234,10 @@
         """Return the organisation of a key, None if the key is unknown."""
         organisation_by_key: dict[str, Organisation] = self._holders  # type: ignore[attr-defined]
         return organisation_by_key.get(key)
+
+
+def request_residency(route: Route, organisation: Organisation | None) -> Residency:
+    """Return the residency of a request; that of route and organisation both bind."""
+    if organisation is None:
+        return route.residency
+    return route.residency.intersect(organisation.residency)
--- a/packages/fleet/tests/test_admission.py
+++ b/packages/fleet/tests/test_admission.py
@@ -192,7 +192,12 @@
             )
 
 
-async def no_reply(endpoint: Endpoint, prefill_seconds: float, max_wait: float) -> None:
+async def no_reply(
+    endpoint: Endpoint,
+    prefill_seconds: float,
+    max_wait: float,
+    warmup_rate: int | None = None,
+) -> None:
     return None
 
 
--- a/packages/fleet/tests/test_placing.py
+++ b/packages/fleet/tests/test_placing.py
@@ -344,7 +344,7 @@
     harness = PlacerHarness()
     queried = []
 
-    async def refuse_admission(endpoint, prefill_seconds, max_wait):
+    async def refuse_admission(endpoint, prefill_seconds, max_wait, warmup_rate):
         queried.append(endpoint.id)
         return AdmissionDecision(False, EndpointLoad(5, 0.6))
 
--- a/packages/standins/src/teaselledge_standins/routes.py
+++ b/packages/standins/src/teaselledge_standins/routes.py
@@ -95,7 +95,7 @@
                 return Ok(Placement(endpoint))
         return Error(Fault(FaultKind.NO_ENDPOINT, 0.5))
 
-    def accepts_requests(self, endpoint: Endpoint) -> bool:
+    def may_send(self, context: RequestContext, endpoint: Endpoint) -> bool:
         """Whether the endpoint is not leaving."""
         return endpoint.id not in self.leaving
 
--- a/packages/standins/src/teaselledge_standins/spreadfleet.py
+++ b/packages/standins/src/teaselledge_standins/spreadfleet.py
@@ -25,6 +25,7 @@
 from teaselledge_fleet.process.stalls import StallDetector
 from teaselledge_fleet.process.storecache import Decode, StoreCache
 from teaselledge_fleet.process.storepoller import StorePoller
+from teaselledge_fleet.process.warmup import WarmupTracker
 from teaselledge_fleet.process.work import FleetLoad
 from teaselledge_wire.gen.fleet.ttypes import WholeState
 
@@ -129,6 +130,8 @@
         Whether a sending VM is disconnected from a receiving VM.
     rng : Random
         Random numbers for losses and incarnations.
+    warmup_rate_factor, warmup_rate_extra : float or None
+        Limit of the requests to an endpoint that warms up.
     """
 
     store: MemoryStateStore
@@ -138,6 +141,8 @@
     loss: float = 0.0
     cut: Callable[[str, str], bool] = lambda sender, receiver: False
     rng: random.Random = field(default_factory=lambda: random.Random(1))
+    warmup_rate_factor: float | None = None
+    warmup_rate_extra: float | None = None
 
     def transmit(self, sender: str, address: str, data: bytes) -> None:
         """Deliver a datagram after the delay, unless it is lost or the path is cut."""
@@ -155,9 +160,13 @@
         own = Member(vm, self.rng.getrandbits(60), zone, zone, f"{vm}:2", address)
         members = Members(own)
         members.set_state(MemberState.READY)
-        store_cache = StoreCache(vm, decode)
-        placer = FleetPlacer(store_cache.view, zone, {})
+        warmup = WarmupTracker(self.warmup_rate_factor, self.warmup_rate_extra)
+        store_cache = StoreCache(vm, decode, warmup)
+        placer = FleetPlacer(
+            store_cache.view, zone, {}, store_cache.drained_zones, warmup
+        )
         load, admission = placer.load, AdmissionController()
+        admission.warmup_rate = warmup.rate_by_hash
         load.coordinated_load = admission.total_load
         coordinators = Coordinators(members)
         link = _Link(self, vm)
--- a/packages/standins/src/teaselledge_standins/statestore.py
+++ b/packages/standins/src/teaselledge_standins/statestore.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from expression import Error, Ok, Result
+from teaselledge_fleet.process.drains import ZoneDrain
 from teaselledge_fleet.process.endpoints import Endpoint, EndpointEntry
 from teaselledge_fleet.process.revision import Revision
 from teaselledge_fleet.process.store import (
@@ -42,6 +43,7 @@
     data: bytes | None
     data_revision: int
     router_rows: dict[str, bytes]
+    drains: dict[str, int]
 
 
 @dataclass
@@ -58,6 +60,8 @@
         Number of calls so far, including those that timed out.
     era : int
         Counter that rises with each restore from a backup.
+    drains : dict of str to int
+        Revision of the last change of each zone's drain; negative if it was taken back.
     """
 
     delay: float = 0.01
@@ -69,6 +73,7 @@
     data_revision: int = 0
     router_rows: dict[str, bytes] = field(default_factory=dict)
     era: int = 1
+    drains: dict[str, int] = field(default_factory=dict)
 
     @property
     def newest(self) -> Revision:
@@ -80,6 +85,24 @@
         self.revision += 1
         self.entries[endpoint.id] = EndpointRow(self.revision, endpoint)
 
+    def drain(self, zone: str) -> None:
+        """Drain a zone."""
+        self.revision += 1
+        self.drains[zone] = self.revision
+
+    def take_back(self, zone: str) -> None:
+        """End the drain of a zone."""
+        self.revision += 1
+        self.drains[zone] = -self.revision
+
+    def drains_since(self, revision: int) -> tuple[ZoneDrain, ...]:
+        """Return the drains that began or ended after a revision."""
+        return tuple(
+            ZoneDrain(zone, Revision(self.era, abs(changed)), changed > 0)
+            for zone, changed in self.drains.items()
+            if abs(changed) > revision
+        )
+
     def delete(self, name: str) -> None:
         """Remove an endpoint's entry."""
         self.revision += 1
@@ -93,6 +116,7 @@
             self.data,
             self.data_revision,
             dict(self.router_rows),
+            dict(self.drains),
         )
 
     def restore(self, copy: StoreCopy) -> None:
@@ -102,6 +126,7 @@
         self.entries = dict(copy.entries)
         self.data, self.data_revision = copy.data, copy.data_revision
         self.router_rows = dict(copy.router_rows)
+        self.drains = dict(copy.drains)
 
     def configure(self, data: bytes) -> None:
         """Write the configuration."""
@@ -137,11 +162,18 @@
             return Error(StoreFault.UNREACHABLE)
         store = self._store
         end = asyncio.get_running_loop().time() + wait
-        while after is not None and after >= Revision(store.era, store.data_revision):
-            if asyncio.get_running_loop().time() >= end:
-                return Ok(StoredConfiguration(store.newest, None))
+        while True:
+            if after is None or after.era != store.era:
+                drains = tuple(each for each in store.drains_since(0) if each.drained)
+                return Ok(
+                    StoredConfiguration(store.newest, store.data, drains, complete=True)
+                )
+            changed = store.data_revision > after.number
+            drains = store.drains_since(after.number)
+            if changed or drains or asyncio.get_running_loop().time() >= end:
+                data = store.data if changed else None
+                return Ok(StoredConfiguration(store.newest, data, drains))
             await asyncio.sleep(POLL_SECONDS)
-        return Ok(StoredConfiguration(store.newest, store.data))
 
     async def routers(self) -> Result[dict[str, bytes], StoreFault]:
         """Read the rows of all routers."""
--- a/packages/wire/fleet.thrift
+++ b/packages/wire/fleet.thrift
@@ -35,6 +35,16 @@
   9: optional i64 born,
   10: optional i32 era,
   11: optional i64 sequence,
+  // milliseconds for which it stays limited in the requests that it tolerates
+  12: optional i32 warmup_ms,
+}
+
+// Whether a zone is drained, at a revision of the store.
+struct ZoneState {
+  1: string zone,
+  2: i64 revision,
+  3: i32 era,
+  4: bool drained,
 }
 
 // Heartbeat, sent a few times a second. Ages are in milliseconds, -1 if unknown.
@@ -70,6 +80,8 @@
   18: optional i8 hops,
   // highest era of the store that the sender knows
   19: optional i32 era,
+  // drained zones, and those that were taken back a moment ago
+  20: optional list<ZoneState> zones,
 }
 
 // Snapshot of the sender's full state, fetched by a router whose state is older.
@@ -83,6 +95,8 @@
   7: list<EndpointState> endpoints,
   8: list<RouterInfo> routers,
   9: optional i32 era,
+  // zones that are or were drained
+  10: optional list<ZoneState> zones,
 }
 
 // Load report, sent some times a second to each coordinator of endpoints at which the
@@ -109,6 +123,9 @@
   7: i32 added,
   // maximum queueing time of the request; negative if it is exceeded already
   8: i32 most_wait,
+  // maximum number of requests that the endpoint gets from this coordinator each second;
+  // absent if it is not limited
+  9: optional i32 rate,
 }
 
 struct AdmissionReply {
--- a/packages/wire/src/teaselledge_wire/gen/fleet/ttypes.py
+++ b/packages/wire/src/teaselledge_wire/gen/fleet/ttypes.py
@@ -218,6 +218,7 @@
      - born
      - era
      - sequence
+     - warmup_ms
 
     """
 
@@ -233,10 +234,11 @@
         'born',
         'era',
         'sequence',
+        'warmup_ms',
     )
 
 
-    def __init__(self, id=None, revision=None, gone=None, service_name=None, address=None, zone=None, slots=None, leaving=None, born=None, era=None, sequence=None,):
+    def __init__(self, id=None, revision=None, gone=None, service_name=None, address=None, zone=None, slots=None, leaving=None, born=None, era=None, sequence=None, warmup_ms=None,):
         self.id = id
         self.revision = revision
         self.gone = gone
@@ -248,6 +250,7 @@
         self.born = born
         self.era = era
         self.sequence = sequence
+        self.warmup_ms = warmup_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -313,6 +316,11 @@
                     self.sequence = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I32:
+                    self.warmup_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -367,6 +375,114 @@
             oprot.writeFieldBegin('sequence', TType.I64, 11)
             oprot.writeI64(self.sequence)
             oprot.writeFieldEnd()
+        if self.warmup_ms is not None:
+            oprot.writeFieldBegin('warmup_ms', TType.I32, 12)
+            oprot.writeI32(self.warmup_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ZoneState(object):
+    """
+    Attributes:
+     - zone
+     - revision
+     - era
+     - drained
+
+    """
+
+    __slots__ = (
+        'zone',
+        'revision',
+        'era',
+        'drained',
+    )
+
+
+    def __init__(self, zone=None, revision=None, era=None, drained=None,):
+        self.zone = zone
+        self.revision = revision
+        self.era = era
+        self.drained = drained
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.era = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.drained = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ZoneState')
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 1)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I32, 3)
+            oprot.writeI32(self.era)
+            oprot.writeFieldEnd()
+        if self.drained is not None:
+            oprot.writeFieldBegin('drained', TType.BOOL, 4)
+            oprot.writeBool(self.drained)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -414,6 +530,7 @@
      - pass_to
      - hops
      - era
+     - zones
 
     """
 
@@ -437,10 +554,11 @@
         'pass_to',
         'hops',
         'era',
+        'zones',
     )
 
 
-    def __init__(self, protocol=None, sender=None, sequence=None, version=None, digest=None, store_age=None, follower=None, changes=None, scope=None, work=None, uses=None, others=None, alive=None, admitting=None, alive_ages=None, alive_marks=None, pass_to=None, hops=None, era=None,):
+    def __init__(self, protocol=None, sender=None, sequence=None, version=None, digest=None, store_age=None, follower=None, changes=None, scope=None, work=None, uses=None, others=None, alive=None, admitting=None, alive_ages=None, alive_marks=None, pass_to=None, hops=None, era=None, zones=None,):
         self.protocol = protocol
         self.sender = sender
         self.sequence = sequence
@@ -460,6 +578,7 @@
         self.pass_to = pass_to
         self.hops = hops
         self.era = era
+        self.zones = zones
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -589,6 +708,17 @@
                     self.era = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.LIST:
+                    self.zones = []
+                    (_etype27, _size24) = iprot.readListBegin()
+                    for _i28 in range(_size24):
+                        _elem29 = ZoneState()
+                        _elem29.read(iprot)
+                        self.zones.append(_elem29)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -630,8 +760,8 @@
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter24 in self.changes:
-                iter24.write(oprot)
+            for iter30 in self.changes:
+                iter30.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.scope is not None:
@@ -649,8 +779,8 @@
         if self.others is not None:
             oprot.writeFieldBegin('others', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.others))
-            for iter25 in self.others:
-                iter25.write(oprot)
+            for iter31 in self.others:
+                iter31.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.alive is not None:
@@ -660,8 +790,8 @@
         if self.admitting is not None:
             oprot.writeFieldBegin('admitting', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.admitting))
-            for iter26 in self.admitting:
-                iter26.write(oprot)
+            for iter32 in self.admitting:
+                iter32.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.alive_ages is not None:
@@ -675,8 +805,8 @@
         if self.pass_to is not None:
             oprot.writeFieldBegin('pass_to', TType.LIST, 17)
             oprot.writeListBegin(TType.I32, len(self.pass_to))
-            for iter27 in self.pass_to:
-                oprot.writeI32(iter27)
+            for iter33 in self.pass_to:
+                oprot.writeI32(iter33)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hops is not None:
@@ -687,6 +817,13 @@
             oprot.writeFieldBegin('era', TType.I32, 19)
             oprot.writeI32(self.era)
             oprot.writeFieldEnd()
+        if self.zones is not None:
+            oprot.writeFieldBegin('zones', TType.LIST, 20)
+            oprot.writeListBegin(TType.STRUCT, len(self.zones))
+            for iter34 in self.zones:
+                iter34.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -724,6 +861,7 @@
      - endpoints
      - routers
      - era
+     - zones
 
     """
 
@@ -737,10 +875,11 @@
         'endpoints',
         'routers',
         'era',
+        'zones',
     )
 
 
-    def __init__(self, protocol=None, sender=None, version=None, configuration=None, digest=None, store_age=None, endpoints=None, routers=None, era=None,):
+    def __init__(self, protocol=None, sender=None, version=None, configuration=None, digest=None, store_age=None, endpoints=None, routers=None, era=None, zones=None,):
         self.protocol = protocol
         self.sender = sender
         self.version = version
@@ -750,6 +889,7 @@
         self.endpoints = endpoints
         self.routers = routers
         self.era = era
+        self.zones = zones
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -794,22 +934,22 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.endpoints = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = EndpointState()
-                        _elem33.read(iprot)
-                        self.endpoints.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = EndpointState()
+                        _elem40.read(iprot)
+                        self.endpoints.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.routers = []
-                    (_etype37, _size34) = iprot.readListBegin()
-                    for _i38 in range(_size34):
-                        _elem39 = RouterInfo()
-                        _elem39.read(iprot)
-                        self.routers.append(_elem39)
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = RouterInfo()
+                        _elem46.read(iprot)
+                        self.routers.append(_elem46)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -818,6 +958,17 @@
                     self.era = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.zones = []
+                    (_etype50, _size47) = iprot.readListBegin()
+                    for _i51 in range(_size47):
+                        _elem52 = ZoneState()
+                        _elem52.read(iprot)
+                        self.zones.append(_elem52)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -855,21 +1006,28 @@
         if self.endpoints is not None:
             oprot.writeFieldBegin('endpoints', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.endpoints))
-            for iter40 in self.endpoints:
-                iter40.write(oprot)
+            for iter53 in self.endpoints:
+                iter53.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.routers is not None:
             oprot.writeFieldBegin('routers', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.routers))
-            for iter41 in self.routers:
-                iter41.write(oprot)
+            for iter54 in self.routers:
+                iter54.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.era is not None:
             oprot.writeFieldBegin('era', TType.I32, 9)
             oprot.writeI32(self.era)
             oprot.writeFieldEnd()
+        if self.zones is not None:
+            oprot.writeFieldBegin('zones', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.zones))
+            for iter55 in self.zones:
+                iter55.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -998,6 +1156,7 @@
      - reading
      - added
      - most_wait
+     - rate
 
     """
 
@@ -1010,10 +1169,11 @@
         'reading',
         'added',
         'most_wait',
+        'rate',
     )
 
 
-    def __init__(self, sender=None, sequence=None, endpoint=None, slots=None, running=None, reading=None, added=None, most_wait=None,):
+    def __init__(self, sender=None, sequence=None, endpoint=None, slots=None, running=None, reading=None, added=None, most_wait=None, rate=None,):
         self.sender = sender
         self.sequence = sequence
         self.endpoint = endpoint
@@ -1022,6 +1182,7 @@
         self.reading = reading
         self.added = added
         self.most_wait = most_wait
+        self.rate = rate
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1072,6 +1233,11 @@
                     self.most_wait = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.rate = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1114,6 +1280,10 @@
             oprot.writeFieldBegin('most_wait', TType.I32, 8)
             oprot.writeI32(self.most_wait)
             oprot.writeFieldEnd()
+        if self.rate is not None:
+            oprot.writeFieldBegin('rate', TType.I32, 9)
+            oprot.writeI32(self.rate)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1370,10 +1540,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.endpoints = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = iprot.readI32()
-                        self.endpoints.append(_elem47)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = iprot.readI32()
+                        self.endpoints.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1394,8 +1564,8 @@
         if self.endpoints is not None:
             oprot.writeFieldBegin('endpoints', TType.LIST, 2)
             oprot.writeListBegin(TType.I32, len(self.endpoints))
-            for iter48 in self.endpoints:
-                oprot.writeI32(iter48)
+            for iter62 in self.endpoints:
+                oprot.writeI32(iter62)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1689,6 +1859,15 @@
     (9, TType.I64, 'born', None, None, ),  # 9
     (10, TType.I32, 'era', None, None, ),  # 10
     (11, TType.I64, 'sequence', None, None, ),  # 11
+    (12, TType.I32, 'warmup_ms', None, None, ),  # 12
+)
+all_structs.append(ZoneState)
+ZoneState.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'zone', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.I32, 'era', None, None, ),  # 3
+    (4, TType.BOOL, 'drained', None, None, ),  # 4
 )
 all_structs.append(Pulse)
 Pulse.thrift_spec = (
@@ -1712,6 +1891,7 @@
     (17, TType.LIST, 'pass_to', (TType.I32, None, False), None, ),  # 17
     (18, TType.BYTE, 'hops', None, None, ),  # 18
     (19, TType.I32, 'era', None, None, ),  # 19
+    (20, TType.LIST, 'zones', (TType.STRUCT, [ZoneState, None], False), None, ),  # 20
 )
 all_structs.append(WholeState)
 WholeState.thrift_spec = (
@@ -1725,6 +1905,7 @@
     (7, TType.LIST, 'endpoints', (TType.STRUCT, [EndpointState, None], False), None, ),  # 7
     (8, TType.LIST, 'routers', (TType.STRUCT, [RouterInfo, None], False), None, ),  # 8
     (9, TType.I32, 'era', None, None, ),  # 9
+    (10, TType.LIST, 'zones', (TType.STRUCT, [ZoneState, None], False), None, ),  # 10
 )
 all_structs.append(WorkReport)
 WorkReport.thrift_spec = (
@@ -1744,6 +1925,7 @@
     (6, TType.I32, 'reading', None, None, ),  # 6
     (7, TType.I32, 'added', None, None, ),  # 7
     (8, TType.I32, 'most_wait', None, None, ),  # 8
+    (9, TType.I32, 'rate', None, None, ),  # 9
 )
 all_structs.append(AdmissionReply)
 AdmissionReply.thrift_spec = (
