Log and count what keeps requests from endpoints

A caller refused for residency, a drained zone or a warm-up saw the same 503 as one without any endpoint, and the log did not tell them apart.

--- a/packages/fleet/src/teaselledge_fleet/process/metrics.py
+++ b/packages/fleet/src/teaselledge_fleet/process/metrics.py
@@ -75,6 +75,12 @@
     "routers_advertised": Metric(
         "gauge", "routers", "Routers that callers are sent to, by this one's directory."
     ),
+    "zones_drained": Metric(
+        "gauge", "zones", "Zones whose endpoints get no new requests."
+    ),
+    "endpoints_warming_up": Metric(
+        "gauge", "endpoints", "Endpoints whose requests are limited after a start."
+    ),
     "requests": Metric(
         "counter", "requests", "Ended requests.", ("outcome", "fault", "service")
     ),
--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -172,7 +172,8 @@
     ) -> None:
         self._warmup = warmup or WarmupTracker()
         self._view = view
-        self._eligible = EligibleEndpoints(view, zones, drained_zones or DrainedZones())
+        self._drained_zones = drained_zones or DrainedZones()
+        self._eligible = EligibleEndpoints(view, zones, self._drained_zones)
         self._distance = Distance(zone, zones)
         self._load = FleetLoad()
         self._shares = OrganisationShares()
@@ -226,6 +227,7 @@
         prompt = context.request.prompt
         endpoints = self._available_endpoints(context)
         if not endpoints:
+            self._log_no_endpoint(context)
             return Error(Fault(FaultKind.NO_ENDPOINT, 0.5))
         if prompt is None:
             return await self._place_plain(context, endpoints)
@@ -484,6 +486,18 @@
         reachable = [e for e in untried if not self._outliers.is_ejected(e.id)]
         return reachable or untried
 
+    def _log_no_endpoint(self, context: RequestContext) -> None:
+        regions = context.residency.regions
+        _log.info(
+            "no endpoint may be used",
+            id=context.request.id,
+            service=context.service,
+            known=len(self._view.of_service(context.service)),
+            allowed_regions=None if regions is None else sorted(regions),
+            drained_zones=self._drained_zones.zones,
+            tried=context.attempted_endpoints,
+        )
+
     def _log_fields(self, best: Candidate) -> dict[str, float]:
         """Return the values behind a decision, as fields of the log line."""
         load = self._load.total(best.endpoint.id)
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -36,7 +36,12 @@
 from teaselledge_fleet.request.call import HeaderCodec
 from teaselledge_fleet.request.serving import RequestProxy
 from teaselledge_fleet.version.residency import ANYWHERE
-from teaselledge_fleet.version.routes import CallerLimits
+from teaselledge_fleet.version.routes import (
+    CallerLimits,
+    Organisation,
+    Route,
+    RoutingConfiguration,
+)
 
 __all__ = ["FleetRouter", "PageFormats"]
 
@@ -302,6 +307,7 @@
         if routing is not None and routing is not self._server.routing:
             self._server.routing = routing
             self._placer.apply_routing(routing)
+            self._warn_of_unknown_regions(routing)
         self._placer.retain_endpoints()
         self._limit_endpoint_connections()
         if (
@@ -311,6 +317,20 @@
             _log.info("router ready", version=self._store_cache.version)
             self._members.set_state(MemberState.READY)
 
+    def _warn_of_unknown_regions(self, routing: RoutingConfiguration) -> None:
+        """Log routes and organisations that no region with a VM may serve."""
+        regions = set(self._settings.zones.values())
+        owners: list[Route | Organisation] = [*routing.routes, *routing.organisations]
+        for owner in owners:
+            if not any(owner.residency.allows(region) for region in regions):
+                _log.warning(
+                    "no known region allowed",
+                    name=owner.name,
+                    allowed_regions=sorted(owner.residency.regions or ()),
+                    known_regions=sorted(regions),
+                    version=routing.version,
+                )
+
     def _update_router_count(self) -> None:
         self._budget.update_router_count(len(self._members.peers) + 1)
         self._limit_endpoint_connections()
@@ -370,6 +390,11 @@
         metrics.set("store_era", self._store_cache.era or 0)
         metrics.set("routers_answering", len(self._members.alive))
         metrics.set("routers_advertised", len(self._members.ready))
+        cache = self._store_cache
+        metrics.set("zones_drained", len(cache.drained_zones.zones))
+        metrics.set(
+            "endpoints_warming_up", cache.warmup.count_limited(cache.view.endpoints)
+        )
         metrics.set("store_calls", self._store_poller.calls)
         metrics.set("endpoint_connections", self._pool.opened)
         metrics.set("admissions_asked", self._admission_rpc.queries_sent)
--- a/packages/fleet/src/teaselledge_fleet/process/warmup.py
+++ b/packages/fleet/src/teaselledge_fleet/process/warmup.py
@@ -164,6 +164,10 @@
         limit = self._limits.get(self._service_by_endpoint[endpoint_hash])
         return limit.rate if limit is not None else None
 
+    def count_limited(self, endpoints: Iterable[Endpoint]) -> int:
+        """Return how many of some endpoints are limited."""
+        return sum(self.rate(endpoint) is not None for endpoint in endpoints)
+
     def announced_seconds(self, endpoint: Endpoint) -> float:
         """Return how much longer an endpoint warms up by its announcement."""
         until = self._announced_until.get(name_hash(endpoint.id), 0.0)
