Check for warm-ups only while there may be any

The order of candidates and the regions with ready routers were worked out for each request and tick also where no service limits a warm-up and no route names regions.

--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -265,6 +265,8 @@
     ) -> list[Candidate]:
         """Return the candidate engines, lowest cost first, those warming up last."""
         candidates = self._chooser.rank_engines(context, requirements)
+        if not self._warmup.has_limits:
+            return candidates
         return sorted(candidates, key=lambda each: self._is_limited(each.endpoint))
 
     def _is_limited(self, endpoint: Endpoint) -> bool:
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -254,7 +254,9 @@
     def _update_utilisation(self) -> None:
         """Report this router's utilisation, and adapt its limit of connections."""
         self._members.set_utilisation(self._event_loop.utilisation)
-        self._region_coverage.update(self._members.ready)
+        routing = self._server.routing
+        if routing is not None and routing.residency.restricted:
+            self._region_coverage.update(self._members.ready)
         self._offload_limiter.start_tick()
         longest, utilisation = (
             self._event_loop.pop_longest_iteration(),
--- a/packages/fleet/src/teaselledge_fleet/process/warmup.py
+++ b/packages/fleet/src/teaselledge_fleet/process/warmup.py
@@ -89,6 +89,11 @@
         self._suspected_until: dict[int, float] = {}
         self._denied_until: dict[int, float] = {}
 
+    @property
+    def has_limits(self) -> bool:
+        """Whether any endpoint may be limited at present."""
+        return bool(self._limits and (self._announced_until or self._suspected_until))
+
     def apply_routing(self, routing: RoutingConfiguration) -> None:
         """Apply the limits in a version of the configuration."""
         if self._rate_factor is None:
@@ -151,6 +156,8 @@
 
         Returns None if the endpoint is not limited.
         """
+        if not self.has_limits:
+            return None
         return self.rate_by_hash(name_hash(endpoint.id))
 
     def rate_by_hash(self, endpoint_hash: int) -> int | None:
@@ -159,7 +166,7 @@
             self._announced_until.get(endpoint_hash, 0.0),
             self._suspected_until.get(endpoint_hash, 0.0),
         )
-        if until <= 0.0 or until <= self._now():
+        if until <= self._now():
             return None
         limit = self._limits.get(self._service_by_endpoint[endpoint_hash])
         return limit.rate if limit is not None else None
--- a/packages/fleet/tests/test_placing.py
+++ b/packages/fleet/tests/test_placing.py
@@ -194,6 +194,15 @@
     assert isinstance(await place(harness, harness.context(organisation="flood")), str)
 
 
+async def test_a_withdrawn_request_does_not_eject_its_endpoint():
+    """The endpoint was not tried: only its grant expired, or its zone was drained."""
+    harness = PlacerHarness()
+    context = harness.context()
+    engine = (await harness.placer.place(context)).ok.endpoint
+    harness.placer.on_attempt_ended(context, engine, Outcome.WITHDRAWN)
+    assert await place(harness, harness.context()) == engine.id
+
+
 async def test_load_of_a_silent_router_expires():
     """A router is cut off; its last report must not block engines for ever."""
     harness = PlacerHarness()
