Take only failed connects for signs of a restart, and tell the coordinator

A failed connect remains a sign, and the router that noticed it now tells the endpoint's coordinator, by a query that is never admitted; before, a router that ranked such an endpoint last told nobody.

--- a/packages/fleet/src/teaselledge_fleet/process/admissionrpc.py
+++ b/packages/fleet/src/teaselledge_fleet/process/admissionrpc.py
@@ -39,6 +39,9 @@
 
 SENDER_ID_BITS = 31
 MS_PER_SECOND = 1000
+NEVER_ADMITTED_SECONDS = -1.0
+"""Maximum queueing time of a query that only tells the coordinator something."""
+
 UNKNOWN_LOAD = EndpointLoad(-1)
 """Differs from every possible load, so that the load is reported again."""
 
@@ -156,6 +159,31 @@
             return None
         return self._record_decision(endpoint, prefill_seconds, decision)
 
+    def report_restart(self, endpoint: Endpoint, rate: int) -> None:
+        """Tell the coordinator that an endpoint probably restarts.
+
+        The report is a query that is never admitted; its reply is ignored.
+        """
+        coordinator = self._coordinators.for_endpoint(endpoint)
+        if coordinator is None:
+            return
+        self._sequence += 1
+        load = self._load.local(endpoint.id)
+        query = AdmissionQuery(
+            self._sender_id,
+            self._sequence,
+            name_hash(endpoint.id),
+            endpoint.slots,
+            load,
+            0.0,
+            NEVER_ADMITTED_SECONDS,
+            rate,
+        )
+        if coordinator.vm == self._members.own.vm:
+            self._admission.decide(query)
+        else:
+            self._socket.send(coordinator.peer_address, _to_wire(query))
+
     def _record_decision(
         self, endpoint: Endpoint, prefill_seconds: float, decision: AdmissionDecision
     ) -> AdmissionDecision:
--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -61,9 +61,6 @@
 MAX_PLAIN_WAIT_SECONDS = 60.0
 """Queueing time of plain requests in queries; their coordinators don't limit it."""
 
-SUSPECT_OUTCOMES = frozenset({Outcome.UNSENT, Outcome.LOST, Outcome.BROKEN})
-"""Outcomes of attempts at an endpoint that restarts, among others."""
-
 MIN_RETRY_AFTER_SECONDS = 0.3
 MAX_RETRY_AFTER_SECONDS = 1.2
 """Range from which the Retry-After of refused callers is drawn uniformly.
@@ -185,6 +182,9 @@
         self._locator: Locator = _NoLocator()
         self._sent: dict[tuple[str, str], _SentRequest] = {}
         self._check_admission: AdmissionCheck = _skip_admission_check
+        self._report_restart: Callable[[Endpoint, int], None] = lambda endpoint, rate: (
+            None
+        )
         self._is_sample_valid: Callable[[float], bool] = lambda sent_at: True
 
     def set_admission_check(self, check_admission: AdmissionCheck) -> None:
@@ -208,6 +208,12 @@
         self._wait_limits.apply_routing(routing)
         self._shares.set_guaranteed_rate(routing.limits.capacity_tokens_per_second)
 
+    def set_restart_report(
+        self, report_restart: Callable[[Endpoint, int], None]
+    ) -> None:
+        """Set the function that tells an endpoint's coordinator of a restart."""
+        self._report_restart = report_restart
+
     def set_locator(self, locator: "Locator") -> None:
         """Set the client of the fleet's prefix directory."""
         self._locator = locator
@@ -461,10 +467,12 @@
     ) -> None:
         """Record the end of an attempt."""
         self._remove_attempt(context, endpoint)
-        if outcome in SUSPECT_OUTCOMES:
-            self._warmup.suspect(endpoint)
         if outcome is Outcome.UNSENT:
             self._outliers.record_connect_failure(endpoint.id)
+            self._warmup.suspect(endpoint)
+            rate = self._warmup.rate(endpoint)
+            if rate is not None:
+                self._report_restart(endpoint, rate)
         elif outcome is Outcome.WHOLE:
             self._outliers.record_outcome(endpoint.id, True)
         elif outcome in (Outcome.LOST, Outcome.FAILED, Outcome.BROKEN):
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -183,6 +183,7 @@
             self._members,
             self._store_cache,
             settings.seeds,
+        self._placer.set_restart_report(self._admission_rpc.report_restart)
             self._placer.load,
             admission,
             self._placer.shares,
--- a/packages/fleet/src/teaselledge_fleet/process/warmup.py
+++ b/packages/fleet/src/teaselledge_fleet/process/warmup.py
@@ -31,9 +31,9 @@
 MAX_LOGGED_GRANTS = 256
 """Maximum number of grants that are remembered for one endpoint."""
 
-QUERY_MEMORY_SECONDS = 1.0
-"""Time for which a coordinator limits an endpoint after a router's last query that did;
-that router may have noticed a restart of which the coordinator does not know."""
+QUERY_MEMORY_SECONDS = 2.0
+"""Time for which a coordinator limits an endpoint after a router's last query or report
+that did. Until then the announcement of an endpoint that restarted is read."""
 
 MIN_EXTENSION_SECONDS = 0.5
 """Time by which an announcement must prolong a warm-up to be applied."""
@@ -67,7 +67,7 @@
     """Tracks which endpoints may be warming up, as known to this router.
 
     An endpoint announces its remaining warm-up. Before that is known here, failed
-    attempts suggest that it restarts, and endpoints of a zone that was taken back may
+    connects suggest that it restarts, and endpoints of a zone that was taken back may
     have restarted in the meantime.
 
     Parameters
@@ -138,7 +138,7 @@
                 self._suspect(endpoint, TAKEN_BACK_SECONDS)
 
     def suspect(self, endpoint: Endpoint) -> None:
-        """Assume that an endpoint restarts, as an attempt failed."""
+        """Assume that an endpoint restarts, as connecting to it failed."""
         limit = self._limits.get(endpoint.service)
         if limit is not None:
             self._suspect(endpoint, limit.warmup_seconds)
--- a/packages/standins/src/teaselledge_standins/spreadfleet.py
+++ b/packages/standins/src/teaselledge_standins/spreadfleet.py
@@ -189,6 +189,7 @@
         client = StoreClient(self.store, vm)
         poller = StorePoller(vm, client, store_cache, address not in seeds)
         placer.set_admission_check(admission_rpc.request_admission)
+        placer.set_restart_report(admission_rpc.report_restart)
         placer.set_locator(PrefixLocator(members, link, coordinators))
         registration = Registration(client, members, store_cache)
         router = GossipRouter(
