--- a/packages/fleet/src/teaselledge_fleet/process/addresses.py
+++ b/packages/fleet/src/teaselledge_fleet/process/addresses.py
@@ -84,11 +84,12 @@
     near_count = len(chosen)
     missing = max(
         MIN_ADDRESSES - near_count,
-        _rounded(near_count, _other_zones_fraction(near)),
+        _addresses_beside(near_count, _other_zones_fraction(near)),
     )
     same_region = [m for m in ready if m.zone != zone and m.region == region]
     added = _sample(
-        _omit_overloaded(same_region), max(missing, _rounded(near_count, spillover))
+        _omit_overloaded(same_region),
+        max(missing, _addresses_beside(near_count, spillover)),
     )
     chosen += added
     others = [m for m in ready if m.zone != zone and m.region != region]
@@ -170,8 +171,11 @@
     )
 
 
-def _rounded(near_count: int, fraction: float) -> int:
-    """Return how many addresses make up a fraction beside those of the own zone."""
+def _addresses_beside(near_count: int, fraction: float) -> int:
+    """Return how many addresses of other zones make up a fraction of all.
+
+    Rounded up or down at random, so that the mean over many responses is exact.
+    """
     if not fraction:
         return 0
     return round(near_count * fraction / (1 - fraction) + random.random() - 0.5)
