Don't count the time of queries against organisations over their share

Cause: over its share a request may wait 90 ms from its arrival.

Change: over the share, the limit is that of the engine's queue alone, within the limit of requests inside the share. Ahead of the others, and inside, the time counts as before.

Test: test_waiting, fails without the change.

--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -344,10 +344,13 @@
     def _remaining_wait(
         self, context: RequestContext, candidate: Candidate, share_status: ShareStatus
     ) -> float:
-        max_wait = self._wait_limits.max_wait(
-            context.route, context.service, share_status, candidate.has_prefix
+        return self._wait_limits.max_wait(
+            context.route,
+            context.service,
+            share_status,
+            candidate.has_prefix,
+            self._now() - context.arrived_at,
         )
-        return context.arrived_at + max_wait - self._now()
 
     def _retry_after(self, context: RequestContext, over_share: bool) -> float:
         """Return the delay after which a refused caller should retry, in seconds."""
--- a/packages/fleet/src/teaselledge_fleet/process/waiting.py
+++ b/packages/fleet/src/teaselledge_fleet/process/waiting.py
@@ -78,8 +78,9 @@
         service: str,
         share_status: ShareStatus,
         has_prefix: bool = False,
+        elapsed: float = 0.0,
     ) -> float:
-        """Return the maximum queueing time of a request from its arrival, in seconds.
+        """Return the maximum queueing time of a request at an engine, in seconds.
 
         Parameters
         ----------
@@ -93,10 +94,17 @@
             Whether the engine caches the prompt's prefix. Elsewhere the limit is the
             shortest objective of the service's routes; here the request may wait by its
             own, since another engine would have to copy or compute the prefix.
+        elapsed : float
+            Seconds since its arrival. Over the share they only count towards the limit
+            of requests inside it: queries to another region take as long as the short
+            limit, and the organisation would be refused while engines are idle.
         """
         objective = route.latency_objective
         if not has_prefix:
             objective = min(
                 objective, self._min_objective_by_service.get(service, objective)
             )
-        return objective * WAIT_FRACTION_BY_STATUS[share_status]
+        limit = objective * WAIT_FRACTION_BY_STATUS[share_status]
+        if share_status is ShareStatus.OVER:
+            return min(limit, objective * WAIT_FRACTION - elapsed)
+        return limit - elapsed
--- a/packages/fleet/tests/test_heavy_load.py
+++ b/packages/fleet/tests/test_heavy_load.py
@@ -27,9 +27,10 @@
         service: str,
         share_status: ShareStatus,
         has_prefix: bool = False,
+        elapsed: float = 0.0,
     ) -> float:
         """Return the limit of engines without the prefix."""
-        return super().max_wait(route, service, share_status)
+        return super().max_wait(route, service, share_status, elapsed=elapsed)
 
 
 async def play(wait_limits: QueueWaitLimits, seed: int) -> LoadResult:
--- a/packages/fleet/tests/test_waiting.py
+++ b/packages/fleet/tests/test_waiting.py
@@ -65,6 +65,26 @@
         assert limit == WAIT_FRACTION * each.latency_objective
 
 
+def test_time_spent_on_queries_does_not_count_over_the_share():
+    """Two queries to another region took longer than the whole limit.
+
+    An organisation over its share was refused while engines were idle, and got less
+    than half of what another one got whose routers were nearer.
+    """
+    limits = wait_limits()
+    at_once = limits.max_wait(DOSSIER, "books", ShareStatus.OVER)
+    assert limits.max_wait(DOSSIER, "books", ShareStatus.OVER, elapsed=0.15) == at_once
+    assert limits.max_wait(DOSSIER, "books", ShareStatus.OVER, elapsed=0.6) < 0
+
+
+def test_time_spent_on_queries_counts_otherwise():
+    limits = wait_limits()
+    for status in (ShareStatus.INSIDE, ShareStatus.AHEAD):
+        at_once = limits.max_wait(DOSSIER, "books", status)
+        later = limits.max_wait(DOSSIER, "books", status, elapsed=0.1)
+        assert abs(at_once - later - 0.1) < 1e-9
+
+
 def test_organisations_over_their_share_have_a_shorter_limit():
     assert (
         wait_limits().max_wait(DOSSIER, "books", ShareStatus.OVER)
