Bound the grants of a warm-up by what is remembered

A service that tolerates more than 256 requests in a window had no limit at all during a warm-up, as its coordinator remembers no more grants than that. Found by reading; no deployment at hand has such a limit. The test grants without end before the change.

--- a/packages/fleet/src/teaselledge_fleet/process/warmup.py
+++ b/packages/fleet/src/teaselledge_fleet/process/warmup.py
@@ -29,7 +29,8 @@
 """Sliding window of the grants; requests sent within a second were granted in it."""
 
 MAX_LOGGED_GRANTS = 256
-"""Maximum number of grants that are remembered for one endpoint."""
+"""Maximum number of grants that are remembered for one endpoint, and so of those that
+are granted in a window."""
 
 QUERY_MEMORY_SECONDS = 2.0
 """Time for which a coordinator limits an endpoint after a router's last query or report
@@ -44,7 +45,7 @@
 
 DENIAL_SECONDS = 0.2
 """Time for which an endpoint is not queried again after its coordinator has denied a
-grant. Eight grants a second become free one after another."""
+grant. Grants become free one after another, spread over the window."""
 
 
 @dataclass(frozen=True)
@@ -237,7 +238,7 @@
             return True
         if self._now() < self._complete_at:
             return False
-        return self._count_recent(endpoint_hash) < rate
+        return self._count_recent(endpoint_hash) < min(rate, MAX_LOGGED_GRANTS)
 
     def record_grant(self, endpoint_hash: int) -> None:
         """Record that a request was granted."""
--- a/packages/fleet/tests/test_warmup.py
+++ b/packages/fleet/tests/test_warmup.py
@@ -12,6 +12,7 @@
 from teaselledge_fleet.process.warmup import (
     GRANT_SECONDS,
     GRANT_WINDOW_SECONDS,
+    MAX_LOGGED_GRANTS,
     TAKEN_BACK_SECONDS,
     WarmupGrants,
     WarmupTracker,
@@ -173,6 +174,17 @@
     assert grants.has_room(1, 9)
 
 
+async def test_a_limit_beyond_what_is_remembered_still_limits():
+    """Otherwise a service with a high limit would have none."""
+    grants = WarmupGrants()
+    await asyncio.sleep(GRANT_WINDOW_SECONDS)
+    granted = 0
+    while grants.has_room(1, 10_000) and granted < 1_000:
+        grants.record_grant(1)
+        granted += 1
+    assert granted == MAX_LOGGED_GRANTS
+
+
 async def test_requests_sent_before_the_warm_up_was_known_count():
     controller = AdmissionController()
     await asyncio.sleep(GRANT_WINDOW_SECONDS)
