--- a/packages/standins/src/teaselledge_standins/modelengines.py
+++ b/packages/standins/src/teaselledge_standins/modelengines.py
@@ -27,8 +27,16 @@
 from tornado.httputil import HTTPHeaders
 
 from teaselledge_standins.routes import make_route
+from teaselledge_standins.shareledger import ShareLedger
 
-__all__ = ["EngineSpeed", "KindResult", "LoadResult", "PromptKind", "run_load"]
+__all__ = [
+    "EngineSpeed",
+    "KindResult",
+    "LoadResult",
+    "OrganisationLoad",
+    "PromptKind",
+    "run_load",
+]
 
 SERVICE = "books"
 MIN_IDLE_SECONDS = 0.001
@@ -111,6 +119,29 @@
     late_worth: float
 
 
+@dataclass(frozen=True)
+class OrganisationLoad:
+    """What one organisation asks for.
+
+    Attributes
+    ----------
+    name : str
+        Name of the organisation.
+    per_second : float
+        Mean number of requests a second.
+    kinds : mapping of str to float
+        Weight of each kind of request by its name; those of the load if empty.
+    begin, end : float
+        Time in which it sends requests, in seconds.
+    """
+
+    name: str
+    per_second: float
+    kinds: Mapping[str, float] = field(default_factory=dict)
+    begin: float = 0.0
+    end: float = float("inf")
+
+
 @dataclass
 class KindResult:
     """What the callers of one kind of request got."""
@@ -133,6 +164,7 @@
 
     kinds: dict[str, KindResult] = field(default_factory=dict)
     counters: Counter[str] = field(default_factory=Counter)
+    shares: ShareLedger = field(default_factory=ShareLedger)
 
     @property
     def credit(self) -> float:
@@ -323,8 +355,13 @@
         self._placer.apply_routing(routing)
         self._placer.shares.set_guaranteed_rate(tokens_per_second)
 
-    async def request(self, kind: PromptKind, number: int) -> None:
-        """Send one caller's request, again once if it is refused."""
+    async def request(
+        self, kind: PromptKind, number: int, owner: str | None = None
+    ) -> None:
+        """Send one caller's request, again once if it is refused.
+
+        Without an owner, the organisation is drawn; some have many more requests.
+        """
         rng, result = self._rng, self.result.kinds[kind.name]
         prefix = f"{kind.name}{rng.randrange(kind.prefix_count)}"
         sizes = random.Random(prefix)
@@ -340,13 +377,18 @@
         mean = kind.prefix_tokens + kind.suffix_tokens + 10 * kind.output_tokens
         weight = min(4.0, 0.3 + 0.7 * size / mean)
         result.owed += kind.worth * weight
-        organisation = Organisation(f"o{min(29, int(rng.expovariate(0.15)))}", ())
+        name = owner or f"o{min(29, int(rng.expovariate(0.15)))}"
+        organisation = Organisation(name, ())
+        tokens = job.context_tokens + 2 * job.output_tokens
+        shares = self.result.shares
         started = asyncio.get_running_loop().time()
         for attempt in range(2):
             context = self._make_context(kind, job, number, attempt, organisation)
             self._placer.record_demand(context.request, organisation)
+            shares.record_request(name, context.arrived_at, tokens)
             placed = await self._placer.place(context)
             if placed.is_error():
+                shares.record_wait(name, context.arrived_at)
                 delay = placed.error.retry_after or 0.0
                 left = started + kind.deadline - context.arrived_at
                 if attempt or delay > left * RETRY_DEADLINE_FRACTION:
@@ -369,10 +411,15 @@
         job.source = self.engines.get(placement.fetch_from or "")
         self.engines[endpoint.id].submit(job)
         whole = await job.events.get()
+        tokens = job.prefix_tokens + job.suffix_tokens + 2 * job.output_tokens
+        shares, owner = self.result.shares, context.organisation_name
+        shares.record_start(owner, loop.time(), tokens)
         await asyncio.sleep(EngineSpeed.first_event_seconds)
         self._placer.on_response_started(context, endpoint)
         last = loop.time()
         in_time = last - started <= context.route.latency_objective
+        if not in_time:
+            shares.record_wait(owner, started)
         while not whole:
             whole = await job.events.get()
             in_time = in_time and (
@@ -425,6 +472,7 @@
     speed: EngineSpeed | None = None,
     tokens_per_second: float = 0.0,
     wait_limits: QueueWaitLimits | None = None,
+    organisations: Sequence[OrganisationLoad] = (),
 ) -> LoadResult:
     """Play a load on engines behind one router's placer.
 
@@ -444,6 +492,8 @@
         Rate that is guaranteed to all organisations together; 0 for none.
     wait_limits : QueueWaitLimits, optional
         Limits of the queueing time that replace the usual ones.
+    organisations : sequence of OrganisationLoad
+        Requests of each organisation. They replace the rates of the kinds.
     """
     random.seed(seed)
     rng = random.Random(seed)
@@ -458,9 +508,14 @@
     )
     steps = [asyncio.create_task(engine.run()) for engine in load.engines.values()]
     async with asyncio.TaskGroup() as callers:
-        for number, (delay, kind) in enumerate(_arrivals(kinds, seconds, rng)):
+        arrivals = (
+            _organisation_arrivals(organisations, kinds, seconds, rng)
+            if organisations
+            else _arrivals(kinds, seconds, rng)
+        )
+        for number, (delay, kind, owner) in enumerate(arrivals):
             await asyncio.sleep(delay)
-            callers.create_task(load.request(kind, number))
+            callers.create_task(load.request(kind, number, owner))
     for step in steps:
         step.cancel()
     return load.result
@@ -468,11 +523,38 @@
 
 def _arrivals(
     kinds: Sequence[PromptKind], seconds: float, rng: random.Random
-) -> Iterable[tuple[float, PromptKind]]:
+) -> Iterable[tuple[float, PromptKind, None]]:
     """Return the kind of each request and the time since the one before."""
     rate = sum(kind.per_second for kind in kinds)
     elapsed = 0.0
     while elapsed < seconds:
         delay = rng.expovariate(rate)
         elapsed += delay
-        yield delay, rng.choices(kinds, [kind.per_second for kind in kinds])[0]
+        yield delay, rng.choices(kinds, [kind.per_second for kind in kinds])[0], None
+
+
+def _organisation_arrivals(
+    organisations: Sequence[OrganisationLoad],
+    kinds: Sequence[PromptKind],
+    seconds: float,
+    rng: random.Random,
+) -> Iterable[tuple[float, PromptKind, str]]:
+    """Return the requests of all organisations in order of time."""
+    arrivals = []
+    for organisation in organisations:
+        weights = [
+            organisation.kinds.get(kind.name, 0.0)
+            if organisation.kinds
+            else kind.per_second
+            for kind in kinds
+        ]
+        at = organisation.begin
+        while (at := at + rng.expovariate(organisation.per_second)) < min(
+            seconds, organisation.end
+        ):
+            kind = rng.choices(kinds, weights)[0]
+            arrivals.append((at, kind, organisation.name))
+    last = 0.0
+    for at, kind, name in sorted(arrivals, key=lambda arrival: arrival[0]):
+        yield at - last, kind, name
+        last = at
