Count whole prompts in shares, and what engines compute in the guaranteed rate

Cause: shares counted the tokens that an engine computes with the shared prefix cached. A long prompt counted as 3,960 of its 17,260 tokens, a short one as 1,450 of 1,800, so two organisations at the same level differed by 3.5 in what they asked for and got. The same the other way round: a flood of short prompts was over its share beside long ones. Class: two sides of a promise that count in different units.

Ruled out: whole prompts for everything, the guaranteed rate included.

Change: requested and allocated tokens are those of whole prompts. The guaranteed rate stays one of computed tokens; each router converts it by the fraction of the tokens of its requests that are not shared. Nothing changes on the wire.

--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -229,7 +229,9 @@
         """
         if call.prompt is not None:
             owner = organisation.name if organisation is not None else ""
-            self._shares.record_request(owner, weight * _token_cost(call.prompt))
+            tokens = _total_tokens(call.prompt)
+            computed = tokens - shared_prefix_tokens(call.prompt)
+            self._shares.record_request(owner, weight * tokens, weight * computed)
 
     async def place(self, context: RequestContext) -> Result[Placement, Fault]:
         """Return the endpoint for the next attempt."""
@@ -427,7 +429,7 @@
                 )
         if not context.send_count:
             self._shares.record_allocation(
-                context.organisation_name, _token_cost(prompt)
+                context.organisation_name, _total_tokens(prompt)
             )
         return self._placement(context, best)
 
@@ -560,15 +562,6 @@
         return asyncio.get_running_loop().time()
 
 
-def _token_cost(prompt: Prompt) -> int:
-    """Return the cost of a request: 1 per prompt token and 2 per generated token.
-
-    The tokens of a shared prefix are not counted, as engines cache them and do not
-    compute them again. If they were, organisations whose prompts have long shared
-    prefixes would seem to have been allocated more than the others.
-    """
-    return (
-        prompt.input_tokens
-        - shared_prefix_tokens(prompt)
-        + 2 * expected_output_tokens(prompt)
-    )
+def _total_tokens(prompt: Prompt) -> int:
+    """Return the tokens of a request: 1 per prompt token and 2 per generated token."""
+    return prompt.input_tokens + 2 * expected_output_tokens(prompt)
--- a/packages/fleet/src/teaselledge_fleet/process/shares.py
+++ b/packages/fleet/src/teaselledge_fleet/process/shares.py
@@ -16,6 +16,10 @@
 SAMPLE_INTERVAL_SECONDS = 0.5
 """Interval of counter samples, so that a window need not retain each request."""
 
+COMPUTED_SMOOTHING_FACTOR = 0.02
+"""Weight of a prompt in the fraction of tokens that engines compute: prompts differ
+fiftyfold in size, and the mix of a router changes within seconds."""
+
 
 def max_min_share(demands: Iterable[float], capacity: float) -> float:
     """Return the max-min fair level, to which larger demands are cut.
@@ -79,6 +83,24 @@
         return TokenUsage(max(0, self.requested - other.requested), allocated)
 
 
+class _ComputedFraction:
+    """Fraction of the requested tokens that engines compute, not having cached them."""
+
+    def __init__(self) -> None:
+        self._tokens = self._computed = 0.0
+
+    def observe(self, tokens: int, computed: int) -> None:
+        """Add a request, whose shared prefix counts as cached."""
+        retained = 1.0 - COMPUTED_SMOOTHING_FACTOR
+        self._tokens = self._tokens * retained + tokens
+        self._computed = self._computed * retained + computed
+
+    @property
+    def value(self) -> float:
+        """The fraction, 0 to 1; 1 before the first request."""
+        return self._computed / self._tokens if self._computed else 1.0
+
+
 @dataclass
 class _TokenCounter:
     requested: int = 0
@@ -111,7 +133,8 @@
     """Tracks requested and allocated tokens of organisations across the fleet.
 
     Every source reports its usage within the last window. A prompt token counts one,
-    and a generated token counts two.
+    whether an engine has cached it or not, and a generated token counts two: an
+    organisation asks for whole prompts, and has no influence on what is cached.
     """
 
     def __init__(self) -> None:
@@ -120,6 +143,8 @@
         self._windows: defaultdict[int, _SlidingWindow] = defaultdict(_SlidingWindow)
         self._hash_by_name: dict[str, int] = {}
         self._guaranteed_tokens = float("inf")
+        """Tokens that engines are guaranteed to compute within the window."""
+        self._computed_fraction = _ComputedFraction()
         self._guaranteed_level = float("inf")
         self._allocated_level = float("inf")
         """Max-min level of all allocated tokens, guaranteed or not."""
@@ -133,12 +158,30 @@
         return self._guaranteed_level
 
     def set_guaranteed_rate(self, tokens_per_second: float) -> None:
-        """Set the rate guaranteed to all organisations together; 0 for none."""
+        """Set the rate guaranteed to all organisations together; 0 for none.
+
+        It counts the tokens that engines compute.
+        """
         self._guaranteed_tokens = tokens_per_second * WINDOW_SECONDS or float("inf")
 
-    def record_request(self, organisation: str, tokens: int) -> None:
-        """Count the tokens of a request that arrives."""
+    def record_request(
+        self, organisation: str, tokens: int, computed: int | None = None
+    ) -> None:
+        """Count the tokens of a request that arrives.
+
+        Parameters
+        ----------
+        organisation : str
+            The organisation that sent it.
+        tokens : int
+            Tokens of the whole prompt and of the response.
+        computed : int, optional
+            Tokens that an engine with the shared prefix cached computes; all if None.
+        """
         self._counter(organisation).requested += tokens
+        self._computed_fraction.observe(
+            tokens, tokens if computed is None else computed
+        )
 
     def record_allocation(self, organisation: str, tokens: int) -> None:
         """Count the tokens of a request that is sent to an engine."""
@@ -217,9 +260,8 @@
         requested = [usage.requested for usage in fleet_usage.values()]
         # capacity beyond the guaranteed rate raises no guaranteed share; the excess is
         # divided by the same rule
-        self._guaranteed_level = max_min_share(
-            requested, min(allocated, self._guaranteed_tokens)
-        )
+        guaranteed = self._guaranteed_tokens / self._computed_fraction.value
+        self._guaranteed_level = max_min_share(requested, min(allocated, guaranteed))
         self._allocated_level = max_min_share(requested, allocated)
 
     def _counter(self, organisation: str) -> _TokenCounter:
--- a/packages/fleet/tests/test_shares.py
+++ b/packages/fleet/tests/test_shares.py
@@ -100,6 +100,27 @@
     assert not shares.is_over_share("a", 1.1)
 
 
+async def test_the_guaranteed_rate_counts_computed_tokens():
+    """Prompts have three quarters cached, and engines compute what is guaranteed.
+
+    Counted whole, the prompts exceed the guaranteed rate fourfold, and organisations
+    would be over their share on a day on which nobody has to wait.
+    """
+    shares = OrganisationShares()
+    shares.set_guaranteed_rate(2500.0)
+    for _ in range(60):
+        for name, tokens in {"a": 600, "b": 300, "c": 60}.items():
+            shares.record_request(name, tokens, tokens // 4)
+            shares.record_allocation(name, tokens)
+        shares.is_over_share("a", 1.0)
+        await asyncio.sleep(0.1)
+    assert not shares.is_over_share("a", 1.0)
+    shares.set_guaranteed_rate(1200.0)
+    await asyncio.sleep(0.6)
+    assert shares.is_over_share("a", 1.0)
+    assert not shares.is_over_share("c", 1.0)
+
+
 async def test_capacity_beyond_the_guaranteed_rate_raises_no_share():
     """Engines deliver twice the guaranteed rate, and two organisations request more.
 
