Test that a crowded router doesn't cost an organisation its share

The first hypothesis of the incident: a router without time refuses 85 % of an organisation's requests unread.

The model plays it: `OrganisationLoad.unread_fraction`.

--- a/packages/fleet/tests/test_fair_tokens.py
+++ b/packages/fleet/tests/test_fair_tokens.py
@@ -74,3 +74,14 @@
         ]
     )
     assert not violations, violations
+
+
+async def test_an_organisation_gets_its_share_though_a_router_refuses_most_of_it():
+    """All of its callers connect to one router, which has no time to read them."""
+    violations = await play(
+        [
+            OrganisationLoad("spread", 90, begin=PEAK_BEGIN),
+            OrganisationLoad("crowded", 90, begin=PEAK_BEGIN, unread_fraction=0.85),
+        ]
+    )
+    assert not violations, violations
--- a/packages/standins/src/teaselledge_standins/modelengines.py
+++ b/packages/standins/src/teaselledge_standins/modelengines.py
@@ -11,6 +11,8 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
+from expression import Error, Result
+from teaselledge_fleet.faults import Fault, FaultKind
 from teaselledge_fleet.process.directory import PrefixDirectory
 from teaselledge_fleet.process.endpoints import Endpoint, EndpointEntry, EndpointView
 from teaselledge_fleet.process.placing import FleetPlacer
@@ -40,6 +42,9 @@
 
 SERVICE = "books"
 MIN_IDLE_SECONDS = 0.001
+UNREAD_RETRY_SECONDS = 0.2
+"""Retry-After of a router that refuses requests unread."""
+
 RETRY_DEADLINE_FRACTION = 1 / 3
 """Part of the remaining time up to which callers wait as told before they retry."""
 
@@ -133,6 +138,8 @@
         Weight of each kind of request by its name; those of the load if empty.
     begin, end : float
         Time in which it sends requests, in seconds.
+    unread_fraction : float
+        Fraction of its requests that a router without time refuses unread.
     """
 
     name: str
@@ -140,6 +147,7 @@
     kinds: Mapping[str, float] = field(default_factory=dict)
     begin: float = 0.0
     end: float = float("inf")
+    unread_fraction: float = 0.0
 
 
 @dataclass
@@ -356,7 +364,7 @@
         self._placer.shares.set_guaranteed_rate(tokens_per_second)
 
     async def request(
-        self, kind: PromptKind, number: int, owner: str | None = None
+        self, kind: PromptKind, number: int, owner: OrganisationLoad | None = None
     ) -> None:
         """Send one caller's request, again once if it is refused.
 
@@ -377,7 +385,8 @@
         mean = kind.prefix_tokens + kind.suffix_tokens + 10 * kind.output_tokens
         weight = min(4.0, 0.3 + 0.7 * size / mean)
         result.owed += kind.worth * weight
-        name = owner or f"o{min(29, int(rng.expovariate(0.15)))}"
+        name = owner.name if owner else f"o{min(29, int(rng.expovariate(0.15)))}"
+        unread_fraction = owner.unread_fraction if owner else 0.0
         organisation = Organisation(name, ())
         tokens = job.context_tokens + 2 * job.output_tokens
         shares = self.result.shares
@@ -386,7 +395,11 @@
             context = self._make_context(kind, job, number, attempt, organisation)
             self._placer.record_demand(context.request, organisation)
             shares.record_request(name, context.arrived_at, tokens)
-            placed = await self._placer.place(context)
+            placed: Result[Placement, Fault]
+            if unread_fraction and rng.random() < unread_fraction:
+                placed = Error(Fault(FaultKind.ROUTER_BUSY, UNREAD_RETRY_SECONDS))
+            else:
+                placed = await self._placer.place(context)
             if placed.is_error():
                 shares.record_wait(name, context.arrived_at)
                 delay = placed.error.retry_after or 0.0
@@ -538,7 +551,7 @@
     kinds: Sequence[PromptKind],
     seconds: float,
     rng: random.Random,
-) -> Iterable[tuple[float, PromptKind, str]]:
+) -> Iterable[tuple[float, PromptKind, OrganisationLoad]]:
     """Return the requests of all organisations in order of time."""
     arrivals = []
     for organisation in organisations:
@@ -553,8 +566,8 @@
             seconds, organisation.end
         ):
             kind = rng.choices(kinds, weights)[0]
-            arrivals.append((at, kind, organisation.name))
+            arrivals.append((at, kind, organisation))
     last = 0.0
-    for at, kind, name in sorted(arrivals, key=lambda arrival: arrival[0]):
-        yield at - last, kind, name
+    for at, kind, organisation in sorted(arrivals, key=lambda arrival: arrival[0]):
+        yield at - last, kind, organisation
         last = at
