--- /dev/null
+++ b/packages/fleet/tests/test_signals.py
@@ -0,0 +1,84 @@
+"""Tests that routers do what endpoints ask for in their responses."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from teaselledge_fleet.process.endpoints import Endpoint
+from teaselledge_fleet.version.routes import RetryPolicy
+from teaselledge_standins.fleetrouters import RunningRouter, running_routers
+from teaselledge_standins.routes import make_route, make_routing, send_request
+from teaselledge_standins.scripted import (
+    ScriptedEndpoint,
+    ScriptedRequest,
+    response_bytes,
+)
+
+REQUESTS = 20
+SLOW_SECONDS = 0.03
+"""Time of responses from the endpoint that would get fewer requests, all else equal."""
+
+PAUSE_SECONDS = 1.0
+
+
+def respond(status: int = 200, delay: float = 0.0, **headers: str):
+    """Return a script that responds with headers, `_` in their names read as `-`."""
+    fields = {name.replace("_", "-"): value for name, value in headers.items()}
+
+    async def script(request: ScriptedRequest, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(delay)
+        echoed = {"X-Request-Id": request.headers["x-request-id"], **fields}
+        writer.write(response_bytes(status, echoed, b"fine"))
+
+    return script
+
+
+@asynccontextmanager
+async def running_router(*engines: ScriptedEndpoint) -> AsyncIterator[RunningRouter]:
+    """Run one router with endpoints e1, e2, ..."""
+    endpoints = [
+        Endpoint(f"e{number}", "books", engine.address, "north-a", 40)
+        for number, engine in enumerate(engines, 1)
+    ]
+    routing = make_routing(make_route(RetryPolicy.ANY))
+    async with running_routers(1, routing, endpoints) as routers:
+        await asyncio.sleep(0.3)
+        yield routers[0]
+
+
+async def send_requests(router: RunningRouter, count: int = REQUESTS) -> list[int]:
+    """Send requests one after another; return the statuses of the responses."""
+    statuses = []
+    for number in range(count):
+        headers = {"X-Request-Id": f"q{number}"}
+        statuses.append((await send_request(router.port, headers=headers)).status)
+    return statuses
+
+
+async def test_no_request_goes_to_an_endpoint_that_responded_that_it_leaves():
+    """Its row in the store said so only 12 s later, as the store was away."""
+    async with (
+        ScriptedEndpoint(respond(X_Leaving="1")) as leaving,
+        ScriptedEndpoint(respond(delay=SLOW_SECONDS)) as staying,
+        running_router(leaving, staying) as router,
+    ):
+        statuses = await send_requests(router)
+    assert statuses == [200] * REQUESTS
+    assert len(leaving.received) <= 1, len(leaving.received)
+
+
+async def test_no_request_goes_to_an_endpoint_that_asked_for_a_pause():
+    """It turned 33 more requests away in the 3 s for which it had asked for none."""
+    declined = respond(503, X_Not_Run="1", Retry_After=str(PAUSE_SECONDS))
+    async with (
+        ScriptedEndpoint(declined) as pausing,
+        ScriptedEndpoint(respond(delay=SLOW_SECONDS)) as serving,
+        running_router(pausing, serving) as router,
+    ):
+        statuses = await send_requests(router)
+        assert statuses == [200] * REQUESTS
+        assert len(pausing.received) <= 1, len(pausing.received)
+        pausing.script = respond()
+        await asyncio.sleep(PAUSE_SECONDS)
+        await send_requests(router)
+        assert len(pausing.received) > 1
