Send nothing to an endpoint whose response says that it leaves (DRAIN)

What callers saw: a request reached an engine 3.3 s after one of its responses, passed on by the same router, had said that it leaves; 2.5 s are allowed.

Cause: nothing read the header. Class: what a peer says of itself is taken from the store only, though it arrives earlier on the connection.

Ruled out: a request that is placed before and sent after the response is stopped by the check before sending, which asks the same object. Telling other routers is not needed: each learns with its first response, and the store tells all. Marking the entry in the view instead would be undone by the row that the engine wrote before it left.

Change: `EndpointSignals` holds what endpoints said, by the start of their process, so that one that starts again gets requests. `EligibleEndpoints`, the only source of candidates and the check before each send, asks it; so first attempts, retries, plain requests, grants of coordinators, warm-ups and relayed connections all do. There are no health checks in this path.

--- a/packages/fleet/src/teaselledge_fleet/process/eligibility.py
+++ b/packages/fleet/src/teaselledge_fleet/process/eligibility.py
@@ -5,6 +5,7 @@
 
 from teaselledge_fleet.process.drains import DrainedZones
 from teaselledge_fleet.process.endpoints import Endpoint, EndpointView
+from teaselledge_fleet.process.signals import EndpointSignals
 from teaselledge_fleet.version.residency import Residency
 
 __all__ = ["EligibleEndpoints"]
@@ -37,6 +38,8 @@
         Region of each zone.
     drained_zones : DrainedZones
         Zones whose endpoints get no new requests.
+    signals : EndpointSignals
+        What endpoints said in their responses.
     """
 
     def __init__(
@@ -44,10 +47,12 @@
         view: EndpointView,
         zones: Mapping[str, str],
         drained_zones: DrainedZones,
+        signals: EndpointSignals,
     ) -> None:
         self._view = view
         self._zones = zones
         self._drained_zones = drained_zones
+        self._signals = signals
         self._selections: dict[tuple[str, Residency], _Selection] = {}
 
     def of_service(self, service: str, residency: Residency) -> list[Endpoint]:
@@ -63,7 +68,9 @@
             endpoints = [each for each in source if self._is_allowed(each, residency)]
             selection = _Selection(source, version, endpoints)
             self._store_selection(service, residency, selection)
-        return selection.endpoints
+        if not self._signals.active:
+            return selection.endpoints
+        return [e for e in selection.endpoints if self._signals.accepts_requests(e)]
 
     def contains(self, endpoint: Endpoint, residency: Residency) -> bool:
         """Whether a request may still be sent to an endpoint that was chosen before."""
@@ -71,6 +78,7 @@
         return (
             known is not None
             and not known.leaving
+            and self._signals.accepts_requests(known)
             and self._is_allowed(endpoint, residency)
         )
 
--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -28,10 +28,11 @@
 from teaselledge_fleet.process.prefixes import shared_prefix_tokens
 from teaselledge_fleet.process.results import OutlierDetector
 from teaselledge_fleet.process.shares import OrganisationShares, ShareStatus
+from teaselledge_fleet.process.signals import EndpointSignals
 from teaselledge_fleet.process.waiting import QueueWaitLimits
 from teaselledge_fleet.process.warmup import GRANT_SECONDS, WarmupTracker
 from teaselledge_fleet.process.work import EndpointLoad, FleetLoad, name_hash
-from teaselledge_fleet.request.call import CallerRequest, Prompt
+from teaselledge_fleet.request.call import CallerRequest, EndpointSignal, Prompt
 from teaselledge_fleet.request.context import Outcome, Placement, RequestContext
 from teaselledge_fleet.version.routes import Organisation, RoutingConfiguration
 
@@ -171,7 +172,10 @@
         self._warmup = warmup or WarmupTracker()
         self._view = view
         self._drained_zones = drained_zones or DrainedZones()
-        self._eligible = EligibleEndpoints(view, zones, self._drained_zones)
+        self._signals = EndpointSignals()
+        self._eligible = EligibleEndpoints(
+            view, zones, self._drained_zones, self._signals
+        )
         self._distance = Distance(zone, zones)
         self._load = FleetLoad()
         self._shares = OrganisationShares()
@@ -446,6 +450,10 @@
             and self._now() - sent.sent_at <= GRANT_SECONDS
         )
 
+    def on_signal(self, endpoint: Endpoint, signal: EndpointSignal) -> None:
+        """Record what an endpoint said about itself in a response."""
+        self._signals.record(endpoint, signal)
+
     def on_response_started(self, context: RequestContext, endpoint: Endpoint) -> None:
         """Record the beginning of a response."""
         key = (context.request.id, endpoint.id)
@@ -501,6 +509,7 @@
         self._load.retain_endpoints(names)
         self._outliers.retain_endpoints(names)
         self._warmup.retain_endpoints(names)
+        self._signals.retain_endpoints(self._view.endpoints)
 
     def _available_endpoints(self, context: RequestContext) -> list[Endpoint]:
         untried = [
--- a/packages/fleet/src/teaselledge_fleet/request/call.py
+++ b/packages/fleet/src/teaselledge_fleet/request/call.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     "CallerRequest",
+    "EndpointSignal",
     "HeaderCodec",
     "ResponseHead",
     "ForwardingInfo",
@@ -117,6 +118,19 @@
     fetch_from: str | None = None
 
 
+@dataclass(frozen=True)
+class EndpointSignal:
+    """What an endpoint says about itself in a response.
+
+    Attributes
+    ----------
+    leaving : bool
+        Whether it is about to stop and wants no new requests.
+    """
+
+    leaving: bool = False
+
+
 @dataclass(frozen=True)
 class ResponseHead:
     """The decoded head of an endpoint's response.
@@ -133,6 +147,8 @@
         Whether the endpoint declares that it has not run the request and never will.
     authentic : bool
         False if the response can't have been written by the endpoint itself.
+    signal : EndpointSignal
+        What the endpoint says about itself.
     """
 
     status: int
@@ -140,6 +156,7 @@
     matches_request: bool
     declined: bool
     authentic: bool
+    signal: EndpointSignal = EndpointSignal()
 
 
 class HeaderCodec(Protocol):
--- a/packages/fleet/src/teaselledge_fleet/request/context.py
+++ b/packages/fleet/src/teaselledge_fleet/request/context.py
@@ -8,7 +8,7 @@
 
 from teaselledge_fleet.faults import Fault
 from teaselledge_fleet.process.endpoints import Endpoint
-from teaselledge_fleet.request.call import CallerRequest
+from teaselledge_fleet.request.call import CallerRequest, EndpointSignal
 from teaselledge_fleet.version.residency import ANYWHERE, Residency
 from teaselledge_fleet.version.routes import Organisation, Route
 
@@ -138,6 +138,9 @@
     def may_send(self, context: RequestContext, endpoint: Endpoint) -> bool:
         """Whether a request that was placed at an endpoint may still be sent to it."""
 
+    def on_signal(self, endpoint: Endpoint, signal: EndpointSignal) -> None:
+        """Record what an endpoint said about itself in a response."""
+
     def on_response_started(self, context: RequestContext, endpoint: Endpoint) -> None:
         """Record that an endpoint began to respond."""
 
--- a/packages/fleet/src/teaselledge_fleet/request/defaultcodec.py
+++ b/packages/fleet/src/teaselledge_fleet/request/defaultcodec.py
@@ -4,7 +4,12 @@
 
 from tornado.httputil import HTTPHeaders
 
-from teaselledge_fleet.request.call import CallerRequest, ForwardingInfo, ResponseHead
+from teaselledge_fleet.request.call import (
+    CallerRequest,
+    EndpointSignal,
+    ForwardingInfo,
+    ResponseHead,
+)
 from teaselledge_fleet.request.headers import from_pairs
 
 __all__ = ["DefaultHeaderCodec"]
@@ -14,6 +19,9 @@
 ENDPOINT = "X-Endpoint"
 ORGANISATION = "X-Organisation"
 NOT_RUN = "X-Not-Run"
+LEAVING = "X-Leaving"
+"""Present in all responses of an endpoint that is about to stop."""
+
 LAST_EVENT = "Last-Event-Id"
 FETCH_FROM = "X-Fetch-From"
 
@@ -99,6 +107,7 @@
             matches_request=fields.get(REQUEST_ID, request.id) == request.id,
             declined=declined,
             authentic=REQUEST_ID in fields or status not in SUCCESS_STATUSES,
+            signal=EndpointSignal(leaving=LEAVING in fields),
         )
 
     def local_reply_headers(self, request: CallerRequest) -> HTTPHeaders:
--- a/packages/fleet/src/teaselledge_fleet/request/serving.py
+++ b/packages/fleet/src/teaselledge_fleet/request/serving.py
@@ -296,6 +296,8 @@
             head = await exchange.head()
             if head.is_error():
                 return self._on_send_failure(head.error)
+            if head.ok.authentic:
+                proxy._placer.on_signal(endpoint, head.ok.signal)
             if head.ok.declined:
                 context.may_have_run = may_have_run_before
                 return Outcome.DECLINED
--- a/packages/fleet/tests/test_placing.py
+++ b/packages/fleet/tests/test_placing.py
@@ -1,7 +1,7 @@
 """Tests of choosing engines and of refusing requests."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from teaselledge_fleet.faults import FaultKind
 from teaselledge_fleet.process.admission import AdmissionDecision
@@ -11,7 +11,12 @@
 from teaselledge_fleet.process.revision import Revision
 from teaselledge_fleet.process.shares import TokenUsage
 from teaselledge_fleet.process.work import EndpointLoad, name_hash
-from teaselledge_fleet.request.call import CallerRequest, Prompt, PromptSegment
+from teaselledge_fleet.request.call import (
+    CallerRequest,
+    EndpointSignal,
+    Prompt,
+    PromptSegment,
+)
 from teaselledge_fleet.request.context import Outcome, RequestContext
 from teaselledge_fleet.version.routes import Organisation, RetryPolicy
 from teaselledge_standins.routes import make_route
@@ -238,6 +243,54 @@
     assert await place(harness, harness.context("p1")) == first_choice
 
 
+def announce(harness: PlacerHarness, endpoint: Endpoint, revision: int) -> None:
+    harness.view.merge([EndpointEntry(endpoint.id, Revision(0, revision), endpoint)])
+
+
+async def test_a_waiting_request_is_not_sent_to_an_engine_whose_row_says_it_leaves():
+    """The request was placed before, and waited for a connection or its turn."""
+    harness = PlacerHarness()
+    context = harness.context()
+    endpoint = harness.view.get(await place(harness, context))
+    assert harness.placer.may_send(context, endpoint)
+    announce(harness, replace(endpoint, leaving=True), 2)
+    assert not harness.placer.may_send(context, endpoint)
+
+
+async def test_a_waiting_request_is_not_sent_to_an_engine_that_responds_it_leaves():
+    harness = PlacerHarness()
+    context = harness.context()
+    endpoint = harness.view.get(await place(harness, context))
+    harness.placer.on_signal(endpoint, EndpointSignal(leaving=True))
+    assert not harness.placer.may_send(context, endpoint)
+
+
+async def test_no_attempt_goes_to_engines_that_respond_they_leave():
+    """Neither a first attempt nor a retry, with a prompt or without."""
+    harness = PlacerHarness()
+    for engine in ENGINES[:-1]:
+        harness.placer.on_signal(engine, EndpointSignal(leaving=True))
+    for prompt, send_count in ((True, 0), (True, 1), (False, 0), (False, 1)):
+        context = harness.context()
+        context.send_count = send_count
+        if not prompt:
+            context.request = replace(context.request, prompt=None)
+        assert await place(harness, context) == ENGINES[-1].id
+
+
+async def test_an_engine_that_left_gets_requests_once_it_has_started_again():
+    harness = PlacerHarness()
+    for engine in ENGINES[1:]:
+        harness.placer.on_signal(engine, EndpointSignal(leaving=True))
+    first = ENGINES[0]
+    harness.placer.on_signal(first, EndpointSignal(leaving=True))
+    announce(harness, replace(first, sequence=9), 2)
+    refused = await place(harness, harness.context())
+    assert refused.kind is FaultKind.NO_ENDPOINT
+    announce(harness, replace(first, started_ms=5), 3)
+    assert await place(harness, harness.context()) == first.id
+
+
 @dataclass
 class FakeDirectory:
     """A prefix directory with given holders; None stands for no reply."""
--- a/packages/fleet/tests/test_residency.py
+++ b/packages/fleet/tests/test_residency.py
@@ -15,6 +15,7 @@
 from teaselledge_fleet.process.members import Member, MemberState
 from teaselledge_fleet.process.placing import FleetPlacer
 from teaselledge_fleet.process.revision import Revision
+from teaselledge_fleet.process.signals import EndpointSignals
 from teaselledge_fleet.request.call import CallerRequest, Prompt, PromptSegment
 from teaselledge_fleet.request.context import Outcome, RequestContext
 from teaselledge_fleet.version.residency import ANYWHERE, Residency
@@ -188,7 +189,7 @@
 async def test_the_check_costs_little():
     """Each request is checked, in front of thousands of endpoints."""
     view = make_view(*["north", "far"] * 1450)
-    eligible = EligibleEndpoints(view, ZONES, DrainedZones())
+    eligible = EligibleEndpoints(view, ZONES, DrainedZones(), EndpointSignals())
     eligible.of_service("books", WEST)
     count = 20_000
     started = time.perf_counter()
--- a/packages/fleet/tests/test_signals.py
+++ b/packages/fleet/tests/test_signals.py
@@ -5,6 +5,8 @@
 from contextlib import asynccontextmanager
 
 from teaselledge_fleet.process.endpoints import Endpoint
+from teaselledge_fleet.process.signals import EndpointSignals
+from teaselledge_fleet.request.call import EndpointSignal
 from teaselledge_fleet.version.routes import RetryPolicy
 from teaselledge_standins.fleetrouters import RunningRouter, running_routers
 from teaselledge_standins.routes import make_route, make_routing, send_request
@@ -82,3 +84,16 @@
         await asyncio.sleep(PAUSE_SECONDS)
         await send_requests(router)
         assert len(pausing.received) > 1
+
+
+async def test_signals_of_endpoints_that_are_gone_are_dropped():
+    """Otherwise the memory of a router would grow with each replaced endpoint."""
+    signals = EndpointSignals()
+    staying, gone = (Endpoint(name, "books", "", "north-a", 4) for name in "ab")
+    for endpoint in (staying, gone):
+        signals.record(endpoint, EndpointSignal(leaving=True))
+    signals.retain_endpoints([staying])
+    assert not signals.accepts_requests(staying)
+    assert signals.accepts_requests(gone)
+    signals.retain_endpoints([])
+    assert not signals.active
--- a/packages/standins/src/teaselledge_standins/routes.py
+++ b/packages/standins/src/teaselledge_standins/routes.py
@@ -11,7 +11,7 @@
 from teaselledge_fleet.faults import Fault, FaultKind
 from teaselledge_fleet.process.budget import RetryBudget
 from teaselledge_fleet.process.endpoints import Endpoint
-from teaselledge_fleet.request.call import CallerRequest
+from teaselledge_fleet.request.call import CallerRequest, EndpointSignal
 from teaselledge_fleet.request.context import Outcome, Placement, RequestContext
 from teaselledge_fleet.request.defaultcodec import DefaultHeaderCodec
 from teaselledge_fleet.request.serving import RequestProxy
@@ -99,6 +99,9 @@
         """Whether the endpoint is not leaving."""
         return endpoint.id not in self.leaving
 
+    def on_signal(self, endpoint: Endpoint, signal: EndpointSignal) -> None:
+        """Do nothing."""
+
     def on_response_started(self, context: RequestContext, endpoint: Endpoint) -> None:
         """Do nothing."""
 
