--- a/packages/fleet/src/teaselledge_fleet/process/eligibility.py
+++ b/packages/fleet/src/teaselledge_fleet/process/eligibility.py
@@ -57,6 +57,13 @@
 
     def of_service(self, service: str, residency: Residency) -> list[Endpoint]:
         """Return the endpoints of a service to which a request may be sent."""
+        allowed = self.allowed(service, residency)
+        if not self._signals.active:
+            return allowed
+        return [each for each in allowed if self._signals.accepts_requests(each)]
+
+    def allowed(self, service: str, residency: Residency) -> list[Endpoint]:
+        """Return the same endpoints, and those that want no requests at present."""
         source = self._view.of_service(service)
         version = self._drained_zones.version
         selection = self._selections.get((service, residency))
@@ -68,9 +75,7 @@
             endpoints = [each for each in source if self._is_allowed(each, residency)]
             selection = _Selection(source, version, endpoints)
             self._store_selection(service, residency, selection)
-        if not self._signals.active:
-            return selection.endpoints
-        return [e for e in selection.endpoints if self._signals.accepts_requests(e)]
+        return selection.endpoints
 
     def contains(self, endpoint: Endpoint, residency: Residency) -> bool:
         """Whether a request may still be sent to an endpoint that was chosen before."""
--- a/packages/fleet/src/teaselledge_fleet/process/metrics.py
+++ b/packages/fleet/src/teaselledge_fleet/process/metrics.py
@@ -89,6 +89,11 @@
     "endpoints_warming_up": Metric(
         "gauge", "endpoints", "Endpoints whose requests are limited after a start."
     ),
+    "endpoints_paused": Metric(
+        "gauge",
+        "endpoints",
+        "Endpoints that asked this router for no requests for some time.",
+    ),
     "requests": Metric(
         "counter", "requests", "Ended requests.", ("outcome", "fault", "service")
     ),
--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -63,6 +63,9 @@
 MAX_PLAIN_WAIT_SECONDS = 60.0
 """Queueing time of plain requests in queries; their coordinators don't limit it."""
 
+NO_ENDPOINT_RETRY_SECONDS = 0.5
+"""Retry-After without any endpoint; a row of a new one arrives within half a second."""
+
 MIN_RETRY_AFTER_SECONDS = 0.3
 MAX_RETRY_AFTER_SECONDS = 1.2
 """Range from which the Retry-After of refused callers is drawn uniformly.
@@ -245,7 +248,8 @@
         endpoints = self._available_endpoints(context)
         if not endpoints:
             self._log_no_endpoint(context)
-            return Error(Fault(FaultKind.NO_ENDPOINT, 0.5))
+            retry_after = self._seconds_until_endpoint(context)
+            return Error(Fault(FaultKind.NO_ENDPOINT, retry_after))
         if prompt is None:
             return await self._place_plain(context, endpoints)
         requirements = await self._requirements(context, endpoints)
@@ -493,6 +497,11 @@
         elif outcome in (Outcome.LOST, Outcome.FAILED, Outcome.BROKEN):
             self._outliers.record_outcome(endpoint.id, False)
 
+    @property
+    def paused_endpoints(self) -> int:
+        """Number of endpoints that want no requests from this router for some time."""
+        return self._signals.count_paused(self._view.endpoints)
+
     @property
     def load(self) -> FleetLoad:
         """Load of the fleet at each endpoint, as reported to this router."""
@@ -522,6 +531,18 @@
         reachable = [e for e in untried if not self._outliers.is_ejected(e.id)]
         return reachable or untried
 
+    def _seconds_until_endpoint(self, context: RequestContext) -> float:
+        """Return when a caller should retry for which no endpoint is left.
+
+        The first endpoint whose pause ends would get all callers at once, so they
+        return within some time after it.
+        """
+        allowed = self._eligible.allowed(context.service, context.residency)
+        pauses = [left for each in allowed if (left := self._signals.pause_left(each))]
+        if not pauses:
+            return NO_ENDPOINT_RETRY_SECONDS
+        return min(pauses) + random.uniform(0.0, NO_ENDPOINT_RETRY_SECONDS)
+
     def _log_no_endpoint(self, context: RequestContext) -> None:
         regions = context.residency.regions
         _log.info(
@@ -529,6 +550,7 @@
             id=context.request.id,
             service=context.service,
             known=len(self._view.of_service(context.service)),
+            paused=self._signals.count_paused(self._view.of_service(context.service)),
             allowed_regions=None if regions is None else sorted(regions),
             drained_zones=self._drained_zones.zones,
             tried=context.attempted_endpoints,
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -420,6 +420,7 @@
         metrics.set(
             "endpoints_warming_up", cache.warmup.count_limited(cache.view.endpoints)
         )
+        metrics.set("endpoints_paused", self._placer.paused_endpoints)
         metrics.set("store_calls", self._store_poller.calls)
         metrics.set("endpoint_connections", self._pool.opened)
         metrics.set("admissions_asked", self._admission_rpc.queries_sent)
--- a/packages/fleet/src/teaselledge_fleet/request/call.py
+++ b/packages/fleet/src/teaselledge_fleet/request/call.py
@@ -126,9 +126,12 @@
     ----------
     leaving : bool
         Whether it is about to stop and wants no new requests.
+    pause_seconds : float
+        Time for which it wants no requests from this router.
     """
 
     leaving: bool = False
+    pause_seconds: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/packages/fleet/src/teaselledge_fleet/request/defaultcodec.py
+++ b/packages/fleet/src/teaselledge_fleet/request/defaultcodec.py
@@ -10,7 +10,7 @@
     ForwardingInfo,
     ResponseHead,
 )
-from teaselledge_fleet.request.headers import from_pairs
+from teaselledge_fleet.request.headers import from_pairs, parse_pause_seconds
 
 __all__ = ["DefaultHeaderCodec"]
 
@@ -107,7 +107,10 @@
             matches_request=fields.get(REQUEST_ID, request.id) == request.id,
             declined=declined,
             authentic=REQUEST_ID in fields or status not in SUCCESS_STATUSES,
-            signal=EndpointSignal(leaving=LEAVING in fields),
+            signal=EndpointSignal(
+                leaving=LEAVING in fields,
+                pause_seconds=parse_pause_seconds(status, fields),
+            ),
         )
 
     def local_reply_headers(self, request: CallerRequest) -> HTTPHeaders:
--- a/packages/fleet/src/teaselledge_fleet/request/headers.py
+++ b/packages/fleet/src/teaselledge_fleet/request/headers.py
@@ -1,10 +1,21 @@
 """Selection of the headers that the router forwards."""
 
+import math
 from collections.abc import Collection, Iterable
 
 from tornado.httputil import HTTPHeaders
 
-__all__ = ["HOP_BY_HOP", "from_pairs", "forwardable_headers"]
+__all__ = [
+    "HOP_BY_HOP",
+    "forwardable_headers",
+    "from_pairs",
+    "parse_pause_seconds",
+]
+
+UNAVAILABLE_STATUS = 503
+MAX_PAUSE_SECONDS = 3600.0
+"""Longest pause that a response can ask for; a garbled one must not exclude an endpoint
+for as long as it runs."""
 
 HOP_BY_HOP = frozenset(
     {
@@ -47,3 +58,20 @@
     named = {n.strip().lower() for n in headers.get("Connection", "").split(",")}
     skipped = HOP_BY_HOP | named | frozenset(excluded)
     return from_pairs(p for p in headers.get_all() if p[0].lower() not in skipped)
+
+
+def parse_pause_seconds(status: int, headers: HTTPHeaders) -> float:
+    """Return for how long an endpoint wants no requests; 0 if it does not say so.
+
+    Only ``Retry-After`` in seconds is read, fractions allowed; not the form of a date,
+    as the clocks of VMs differ.
+    """
+    if status != UNAVAILABLE_STATUS:
+        return 0.0
+    try:
+        seconds = float(headers.get("Retry-After", ""))
+    except ValueError:
+        return 0.0
+    if not math.isfinite(seconds):
+        return 0.0
+    return min(MAX_PAUSE_SECONDS, max(0.0, seconds))
--- a/packages/fleet/tests/test_placing.py
+++ b/packages/fleet/tests/test_placing.py
@@ -278,6 +278,49 @@
         assert await place(harness, context) == ENGINES[-1].id
 
 
+async def test_a_waiting_request_is_not_sent_to_an_engine_that_asked_for_a_pause():
+    harness = PlacerHarness()
+    context = harness.context()
+    endpoint = harness.view.get(await place(harness, context))
+    harness.placer.on_signal(endpoint, EndpointSignal(pause_seconds=3.0))
+    assert not harness.placer.may_send(context, endpoint)
+    await asyncio.sleep(3.1)
+    assert harness.placer.may_send(context, endpoint)
+
+
+async def test_callers_are_refused_at_once_while_all_engines_pause():
+    """They are told when the first pause ends, and are served from then on."""
+    harness = PlacerHarness()
+    for number, engine in enumerate(ENGINES):
+        signal = EndpointSignal(pause_seconds=3.0 + number)
+        harness.placer.on_signal(engine, signal)
+    await asyncio.sleep(1.0)
+    refused = await place(harness, harness.context())
+    assert refused.kind is FaultKind.NO_ENDPOINT
+    assert 2.0 <= refused.retry_after <= 2.5
+    await asyncio.sleep(refused.retry_after)
+    assert await place(harness, harness.context()) == ENGINES[0].id
+
+
+async def test_a_shorter_pause_does_not_end_a_longer_one():
+    """Responses to requests that were sent before a pause may arrive during it."""
+    harness = PlacerHarness()
+    for seconds in (3.0, 0.5):
+        for engine in ENGINES:
+            harness.placer.on_signal(engine, EndpointSignal(pause_seconds=seconds))
+    await asyncio.sleep(1.0)
+    refused = await place(harness, harness.context())
+    assert refused.kind is FaultKind.NO_ENDPOINT
+
+
+async def test_an_engine_that_paused_gets_requests_once_it_has_started_again():
+    harness = PlacerHarness()
+    for engine in ENGINES:
+        harness.placer.on_signal(engine, EndpointSignal(pause_seconds=60.0))
+    announce(harness, replace(ENGINES[0], started_ms=5), 2)
+    assert await place(harness, harness.context()) == ENGINES[0].id
+
+
 async def test_an_engine_that_left_gets_requests_once_it_has_started_again():
     harness = PlacerHarness()
     for engine in ENGINES[1:]:
--- a/packages/fleet/tests/test_signals.py
+++ b/packages/fleet/tests/test_signals.py
@@ -7,6 +7,7 @@
 from teaselledge_fleet.process.endpoints import Endpoint
 from teaselledge_fleet.process.signals import EndpointSignals
 from teaselledge_fleet.request.call import EndpointSignal
+from teaselledge_fleet.request.headers import MAX_PAUSE_SECONDS, parse_pause_seconds
 from teaselledge_fleet.version.routes import RetryPolicy
 from teaselledge_standins.fleetrouters import RunningRouter, running_routers
 from teaselledge_standins.routes import make_route, make_routing, send_request
@@ -15,6 +16,7 @@
     ScriptedRequest,
     response_bytes,
 )
+from tornado.httputil import HTTPHeaders
 
 REQUESTS = 20
 SLOW_SECONDS = 0.03
@@ -91,9 +93,25 @@
     signals = EndpointSignals()
     staying, gone = (Endpoint(name, "books", "", "north-a", 4) for name in "ab")
     for endpoint in (staying, gone):
-        signals.record(endpoint, EndpointSignal(leaving=True))
+        signals.record(endpoint, EndpointSignal(leaving=True, pause_seconds=9.0))
     signals.retain_endpoints([staying])
     assert not signals.accepts_requests(staying)
     assert signals.accepts_requests(gone)
     signals.retain_endpoints([])
     assert not signals.active
+
+
+def test_the_pause_of_a_response_is_read_in_seconds():
+    for value, seconds in (
+        ("3", 3.0),
+        ("0.25", 0.25),
+        ("-1", 0.0),
+        ("nan", 0.0),
+        ("inf", 0.0),
+        ("1e9", MAX_PAUSE_SECONDS),
+        ("Thu, 03 Dec 2026 18:00:00 GMT", 0.0),
+    ):
+        headers = HTTPHeaders({"Retry-After": value})
+        assert parse_pause_seconds(503, headers) == seconds, value
+        assert parse_pause_seconds(200, headers) == 0.0
+    assert parse_pause_seconds(503, HTTPHeaders()) == 0.0
