--- a/packages/fleet/src/teaselledge_fleet/process/gossip.py
+++ b/packages/fleet/src/teaselledge_fleet/process/gossip.py
@@ -371,6 +371,9 @@
         if forwards and self._stalls.recently_stalled:
             # it may have queued while this VM was stalled: its sender may be dead now
             return
+        if self._stalls.recently_stalled_long:
+            # this router would report the sender as alive, and others believe it
+            return
         for info in heartbeat.others or ():
             if self._members.merge_report(MemberReport.from_wire(info)):
                 self.on_membership_change()
--- a/packages/fleet/src/teaselledge_fleet/process/members.py
+++ b/packages/fleet/src/teaselledge_fleet/process/members.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import math
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
 from enum import IntEnum
 
@@ -208,19 +208,19 @@
 class _MemberRecord:
     member: Member
     updated_at: float
-    """Loop time of its last heartbeat, or at which it became known without one."""
+    """Time of its last heartbeat, or at which it became known without one."""
     direct_at: float = -math.inf
-    """Loop time of the last heartbeat that this router received directly."""
+    """Time of the last heartbeat that this router received directly."""
     forwarded_at: float = -math.inf
-    """Loop time of the last heartbeat that other routers forwarded."""
+    """Time of the last heartbeat that other routers forwarded."""
     aggregated_at: float = -math.inf
-    """Loop time of the last heartbeat that this zone's aggregator received."""
+    """Time of the last heartbeat that this zone's aggregator received."""
     reported_at: float = -math.inf
-    """Loop time of the last heartbeat according to member reports."""
+    """Time of the last heartbeat according to member reports."""
 
     @property
     def last_heartbeat_at(self) -> float:
-        """Loop time at which any router last received a heartbeat."""
+        """Time at which any router last received a heartbeat."""
         return max(
             self.direct_at, self.forwarded_at, self.aggregated_at, self.reported_at
         )
@@ -255,10 +255,20 @@
     The age of a report counts from the last heartbeat of the router, not from the
     arrival of the report. Otherwise routers that exchange reports would keep
     advertising a router from which none of them receives heartbeats any more.
+
+    Parameters
+    ----------
+    own : Member
+        This router.
+    clock : callable, optional
+        Returns seconds of a clock that also advances while the VM is suspended, so that
+        a router that resumes doesn't report ages that are too low. The event loop's
+        clock by default.
     """
 
-    def __init__(self, own: Member) -> None:
+    def __init__(self, own: Member, clock: Callable[[], float] | None = None) -> None:
         self._own = own
+        self._clock = clock
         self._records: dict[str, _MemberRecord] = {}
         self._vm_by_hash: dict[int, str] = {}
         self._purged_at = -math.inf
@@ -433,4 +443,6 @@
         self._vm_by_hash[name_hash(vm)] = vm
 
     def _now(self) -> float:
+        if self._clock is not None:
+            return self._clock()
         return asyncio.get_running_loop().time()
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -34,6 +34,7 @@
     ZoneSpillover,
     offered_utilisation,
 )
+from teaselledge_fleet.process.stalls import boot_clock
 from teaselledge_fleet.process.store import StateStore
 from teaselledge_fleet.process.storecache import Decode, StoreCache
 from teaselledge_fleet.process.storepoller import StorePoller
@@ -121,7 +122,7 @@
             cores=settings.cores,
             relay_port=_port(settings.listeners.relays),
         )
-        self._members = Members(own)
+        self._members = Members(own, boot_clock)
         self._event_loop = EventLoopMonitor(settings.cores)
         self._event_loop.on_tick = self._update_utilisation
         warmup = WarmupTracker(settings.warmup_rate_factor, settings.warmup_rate_extra)
--- a/packages/fleet/src/teaselledge_fleet/process/stalls.py
+++ b/packages/fleet/src/teaselledge_fleet/process/stalls.py
@@ -10,6 +10,12 @@
 
 Ticks are due every 0.4 s, and a busy event loop delays them by less than that."""
 
+LONG_STALL_SECONDS = 2.0
+"""Stall from which no queued message counts, not even a sender's own heartbeat.
+
+Other routers accept reports of a router that they have not heard for 3 s. An overloaded
+event loop stalls for less, and would otherwise hear nobody at all."""
+
 BACKLOG_SECONDS = 0.5
 """Time after a stall in which messages that arrived during it are still being read."""
 
@@ -35,6 +41,16 @@
         self._clock = clock
         self._ticked_at = clock()
         self._stale_until = self._ticked_at
+        self._stalled_seconds = 0.0
+        """Length of the last stall."""
+
+    @property
+    def recently_stalled_long(self) -> bool:
+        """Whether messages that are read now may be of a router that is dead by now."""
+        if not self.recently_stalled:
+            return False
+        unticked = self._clock() - self._ticked_at
+        return max(unticked, self._stalled_seconds) >= LONG_STALL_SECONDS
 
     @property
     def recently_stalled(self) -> bool:
@@ -47,6 +63,8 @@
     def tick(self) -> None:
         """Record that the process is running."""
         now = self._clock()
-        if now - self._ticked_at > MAX_TICK_INTERVAL_SECONDS:
+        elapsed = now - self._ticked_at
+        if elapsed > MAX_TICK_INTERVAL_SECONDS:
             self._stale_until = now + BACKLOG_SECONDS
+            self._stalled_seconds = elapsed
         self._ticked_at = now
--- a/packages/fleet/tests/test_lost_power.py
+++ b/packages/fleet/tests/test_lost_power.py
@@ -22,7 +22,7 @@
 """Maximum time for which any router may advertise a VM without power."""
 
 CHANGE_SECONDS = 0.4
-LOST = "r004"
+LOST, SUSPENDED = "r004", "r005"
 
 
 async def change_until(fleet: GossipFleet, end: float) -> None:
@@ -72,3 +72,35 @@
 async def test_lost_vm_is_not_advertised_in_a_large_fleet_while_it_changes():
     seconds = await seconds_advertised(LARGE, changes=True)
     assert seconds < MAX_ADVERTISED_SECONDS, f"{seconds:.2f} s"
+
+
+async def routers_advertising_after_resume(count: int) -> set[str]:
+    """Return which routers advertise a lost VM after another one has resumed.
+
+    The other one is suspended before that VM is lost, and resumes 8 s later.
+    """
+    async with running_gossip_fleet(
+        make_store([]), count, decode_empty_routing
+    ) as fleet:
+        await asyncio.sleep(5)
+        fleet.suspend(SUSPENDED)
+        await asyncio.sleep(0.7)
+        next(r for r in fleet.routers if r.vm == LOST).kill()
+        await asyncio.sleep(8)
+        fleet.resume(SUSPENDED)
+        advertising = set()
+        for _ in range(100):
+            await asyncio.sleep(0.05)
+            advertising |= {
+                router.vm
+                for router in fleet.routers
+                if not router.killed and any(m.vm == LOST for m in router.members.ready)
+            }
+    return advertising
+
+
+async def test_lost_vm_is_not_advertised_after_another_one_resumes():
+    """It reads the lost one's last heartbeats and reports them as received just now."""
+    for count in (SMALL, LARGE):
+        advertising = await routers_advertising_after_resume(count)
+        assert not advertising, (count, advertising)
--- a/packages/fleet/tests/test_members.py
+++ b/packages/fleet/tests/test_members.py
@@ -38,6 +38,17 @@
     assert members.report(OTHER).silent_seconds > 3.0
 
 
+async def test_ages_include_the_time_for_which_the_vm_was_suspended():
+    """A router that resumed reported a VM that was dead by then as just heard."""
+    now = [100.0]
+    members = Members(Member("r1", 1, "z1", "z1", "r1:2", "r1:1"), lambda: now[0])
+    members.update_from_heartbeat(OTHER)
+    assert advertised(members)
+    now[0] += 8.0
+    assert not advertised(members)
+    assert members.report(OTHER).silent_seconds == 8.0
+
+
 async def test_store_row_does_not_count_as_a_heartbeat(members):
     """Rows of killed routers stay, and a router without peers reads them every 2 s."""
     members.merge_report(MemberReport(OTHER, None))
