--- a/packages/fleet/src/teaselledge_fleet/process/eligibility.py
+++ b/packages/fleet/src/teaselledge_fleet/process/eligibility.py
@@ -1,7 +1,7 @@
 """Which endpoints a request may be sent to, whatever their load."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from teaselledge_fleet.process.drains import DrainedZones
 from teaselledge_fleet.process.endpoints import Endpoint, EndpointView
@@ -15,7 +15,7 @@
 """Maximum number of cached selections, one for each service and residency."""
 
 
-@dataclass
+@dataclass(frozen=True)
 class _Selection:
     """Endpoints selected from those of a service, and what they were selected by."""
 
@@ -62,12 +62,13 @@
         selection = self._select(service, residency)
         version = self._signals.version
         if selection.signals_version != version:
-            selection.signals_version = version
-            selection.accepting = [
+            accepting = [
                 endpoint
                 for endpoint in selection.allowed
                 if self._signals.accepts_requests(endpoint)
             ]
+            selection = replace(selection, signals_version=version, accepting=accepting)
+            self._selections[service, residency] = selection
         return selection.accepting
 
     def allowed(self, service: str, residency: Residency) -> list[Endpoint]:
--- a/packages/fleet/tests/test_placing.py
+++ b/packages/fleet/tests/test_placing.py
@@ -10,6 +10,10 @@
 from teaselledge_fleet.process.prefixes import rendezvous_order
 from teaselledge_fleet.process.revision import Revision
 from teaselledge_fleet.process.shares import TokenUsage
+from teaselledge_fleet.process.signals import (
+    LEAVING_RETENTION_SECONDS,
+    EndpointSignals,
+)
 from teaselledge_fleet.process.work import EndpointLoad, name_hash
 from teaselledge_fleet.request.call import (
     CallerRequest,
@@ -321,6 +325,34 @@
     assert await place(harness, harness.context()) == ENGINES[0].id
 
 
+async def test_signals_outlast_the_row_of_an_endpoint():
+    """It expires while the store is away, and returns as that of a ready one."""
+    signals = EndpointSignals()
+    leaving, pausing = ENGINES[:2]
+    signals.record(leaving, EndpointSignal(leaving=True))
+    signals.record(pausing, EndpointSignal(pause_seconds=9.0))
+    await asyncio.sleep(4)
+    signals.retain_endpoints([])
+    await asyncio.sleep(4)
+    signals.retain_endpoints(ENGINES)
+    assert not signals.accepts_requests(leaving)
+    assert not signals.accepts_requests(pausing)
+
+
+async def test_signals_of_endpoints_that_are_gone_for_long_are_dropped():
+    """Otherwise the memory of a router would grow with each replaced endpoint."""
+    signals = EndpointSignals()
+    staying, gone = ENGINES[:2]
+    for endpoint in (staying, gone):
+        signals.record(endpoint, EndpointSignal(leaving=True))
+    for _ in range(3):
+        await asyncio.sleep(0.5 * LEAVING_RETENTION_SECONDS)
+        signals.retain_endpoints([staying])
+    signals.retain_endpoints([])
+    assert not signals.accepts_requests(staying)
+    assert signals.accepts_requests(gone)
+
+
 async def test_an_engine_that_left_gets_requests_once_it_has_started_again():
     harness = PlacerHarness()
     for engine in ENGINES[1:]:
