--- a/packages/fleet/tests/test_lost_power.py
+++ b/packages/fleet/tests/test_lost_power.py
@@ -11,7 +11,11 @@
 
 import asyncio
 
-from teaselledge_standins.spreadfleet import GossipFleet, running_gossip_fleet
+from teaselledge_standins.spreadfleet import (
+    GossipFleet,
+    GossipRouter,
+    running_gossip_fleet,
+)
 from teaselledge_standins.statestore import decode_empty_routing, make_store
 
 VIRTUAL_CLOCK = True
@@ -74,33 +78,56 @@
     assert seconds < MAX_ADVERTISED_SECONDS, f"{seconds:.2f} s"
 
 
-async def routers_advertising_after_resume(count: int) -> set[str]:
+async def routers_advertising_after_resume(
+    fleet: GossipFleet, suspended: GossipRouter, lost: GossipRouter
+) -> set[str]:
     """Return which routers advertise a lost VM after another one has resumed.
 
     The other one is suspended before that VM is lost, and resumes 8 s later.
     """
-    async with running_gossip_fleet(
-        make_store([]), count, decode_empty_routing
-    ) as fleet:
-        await asyncio.sleep(5)
-        fleet.suspend(SUSPENDED)
-        await asyncio.sleep(0.7)
-        next(r for r in fleet.routers if r.vm == LOST).kill()
-        await asyncio.sleep(8)
-        fleet.resume(SUSPENDED)
-        advertising = set()
-        for _ in range(100):
-            await asyncio.sleep(0.05)
-            advertising |= {
-                router.vm
-                for router in fleet.routers
-                if not router.killed and any(m.vm == LOST for m in router.members.ready)
-            }
+    fleet.suspend(suspended.vm)
+    await asyncio.sleep(0.7)
+    lost.kill()
+    await asyncio.sleep(8)
+    fleet.resume(suspended.vm)
+    advertising = set()
+    for _ in range(100):
+        await asyncio.sleep(0.05)
+        living = [router for router in fleet.routers if not router.killed]
+        advertising |= {
+            router.vm
+            for router in living
+            if any(m.vm == lost.vm for m in router.members.ready)
+        }
     return advertising
 
 
 async def test_lost_vm_is_not_advertised_after_another_one_resumes():
     """It reads the lost one's last heartbeats and reports them as received just now."""
     for count in (SMALL, LARGE):
-        advertising = await routers_advertising_after_resume(count)
+        async with running_gossip_fleet(
+            make_store([]), count, decode_empty_routing
+        ) as fleet:
+            await asyncio.sleep(5)
+            by_vm = {router.vm: router for router in fleet.routers}
+            advertising = await routers_advertising_after_resume(
+                fleet, by_vm[SUSPENDED], by_vm[LOST]
+            )
         assert not advertising, (count, advertising)
+
+
+async def test_lost_vm_is_not_advertised_after_its_aggregator_resumes():
+    """The aggregator told all routers of its zone that the lost one was alive."""
+    async with running_gossip_fleet(
+        make_store([]), LARGE, decode_empty_routing
+    ) as fleet:
+        await asyncio.sleep(5)
+        aggregator = next(r for r in fleet.routers if r.gossip._topology.is_aggregator)
+        zone = aggregator.members.own.zone
+        lost = next(
+            r
+            for r in fleet.routers
+            if r is not aggregator and r.members.own.zone == zone
+        )
+        advertising = await routers_advertising_after_resume(fleet, aggregator, lost)
+    assert not advertising, advertising
