Move the delays of refused callers out of the placer

No change of behaviour: placing.py held three ways to choose a Retry-After beside the choice of endpoints. They are a module of their own now, without network or clock, that says which load it answers.

--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import math
-import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 from typing import Protocol
@@ -27,6 +26,10 @@
 from teaselledge_fleet.process.prefill import PREFILL_TIME_FRACTION
 from teaselledge_fleet.process.prefixes import shared_prefix_tokens
 from teaselledge_fleet.process.results import OutlierDetector
+from teaselledge_fleet.process.retryafter import (
+    retry_after_refusal,
+    retry_without_endpoint,
+)
 from teaselledge_fleet.process.shares import OrganisationShares, ShareStatus
 from teaselledge_fleet.process.signals import EndpointSignals
 from teaselledge_fleet.process.waiting import QueueWaitLimits
@@ -63,20 +66,6 @@
 MAX_PLAIN_WAIT_SECONDS = 60.0
 """Queueing time of plain requests in queries; their coordinators don't limit it."""
 
-NO_ENDPOINT_RETRY_SECONDS = 0.5
-"""Retry-After without any endpoint; a row of a new one arrives within half a second."""
-
-MIN_RETRY_AFTER_SECONDS = 0.3
-MAX_RETRY_AFTER_SECONDS = 1.2
-"""Range from which the Retry-After of refused callers is drawn uniformly.
-
-Engines process a backlog as long as the limit on queueing time (`waiting.py`) within
-0.4 s; callers that all retried at once would cause the next one. For organisations over
-their share, the upper end is raised, up to 4 s, to the time at which enough of their
-usage has left the sliding window (`shares.py`): before that they would be refused
-again.
-"""
-
 
 @dataclass(frozen=True)
 class _SentRequest:
@@ -248,7 +237,7 @@
         endpoints = self._available_endpoints(context)
         if not endpoints:
             self._log_no_endpoint(context)
-            retry_after = self._seconds_until_endpoint(context)
+            retry_after = self._retry_after_pauses(context)
             return Error(Fault(FaultKind.NO_ENDPOINT, retry_after))
         if prompt is None:
             return await self._place_plain(context, endpoints)
@@ -366,13 +355,11 @@
 
     def _retry_after(self, context: RequestContext, over_share: bool) -> float:
         """Return the delay after which a refused caller should retry, in seconds."""
-        max_retry_after = MAX_RETRY_AFTER_SECONDS
-        if over_share:
-            max_retry_after = max(
-                max_retry_after,
-                self._shares.seconds_until_within_share(context.organisation_name),
-            )
-        return random.uniform(MIN_RETRY_AFTER_SECONDS, max_retry_after)
+        if not over_share:
+            return retry_after_refusal()
+        return retry_after_refusal(
+            self._shares.seconds_until_within_share(context.organisation_name)
+        )
 
     async def _admit(
         self, context: RequestContext, best: Candidate, max_wait: float
@@ -531,17 +518,12 @@
         reachable = [e for e in untried if not self._outliers.is_ejected(e.id)]
         return reachable or untried
 
-    def _seconds_until_endpoint(self, context: RequestContext) -> float:
-        """Return when a caller should retry for which no endpoint is left.
-
-        The first endpoint whose pause ends would get all callers at once, so they
-        return within some time after it.
-        """
+    def _retry_after_pauses(self, context: RequestContext) -> float:
+        """Return the delay for a caller for whose request no endpoint is left."""
         allowed = self._eligible.allowed(context.service, context.residency)
-        pauses = [left for each in allowed if (left := self._signals.pause_left(each))]
-        if not pauses:
-            return NO_ENDPOINT_RETRY_SECONDS
-        return min(pauses) + random.uniform(0.0, NO_ENDPOINT_RETRY_SECONDS)
+        return retry_without_endpoint(
+            [left for each in allowed if (left := self._signals.pause_left(each))]
+        )
 
     def _log_no_endpoint(self, context: RequestContext) -> None:
         regions = context.residency.regions
