Judge a stall by its own length, not by that of the last long one

Read from the code, not seen in a play: after a long stall each later one over 0.8 s counted as long until its first tick, so that an overloaded router that had been suspended once would have dropped its neighbours' heartbeats again and again.

The length of the last stall counts for the backlog after it only. The property has a clearer name; the model counts a request's tokens in one place.

Test: test_a_short_stall_after_a_long_one_is_short, fails without the condition.

--- a/packages/fleet/src/teaselledge_fleet/process/gossip.py
+++ b/packages/fleet/src/teaselledge_fleet/process/gossip.py
@@ -371,7 +371,7 @@
         if forwards and self._stalls.recently_stalled:
             # it may have queued while this VM was stalled: its sender may be dead now
             return
-        if self._stalls.recently_stalled_long:
+        if self._stalls.recently_stalled_for_long:
             # this router would report the sender as alive, and others believe it
             return
         for info in heartbeat.others or ():
--- a/packages/fleet/src/teaselledge_fleet/process/stalls.py
+++ b/packages/fleet/src/teaselledge_fleet/process/stalls.py
@@ -45,12 +45,11 @@
         """Length of the last stall."""
 
     @property
-    def recently_stalled_long(self) -> bool:
+    def recently_stalled_for_long(self) -> bool:
         """Whether messages that are read now may be of a router that is dead by now."""
-        if not self.recently_stalled:
-            return False
-        unticked = self._clock() - self._ticked_at
-        return max(unticked, self._stalled_seconds) >= LONG_STALL_SECONDS
+        now = self._clock()
+        stalled_seconds = self._stalled_seconds if now < self._stale_until else 0.0
+        return max(stalled_seconds, now - self._ticked_at) >= LONG_STALL_SECONDS
 
     @property
     def recently_stalled(self) -> bool:
--- a/packages/fleet/tests/test_forwarding.py
+++ b/packages/fleet/tests/test_forwarding.py
@@ -140,6 +140,22 @@
     assert not stalls.recently_stalled
 
 
+async def test_a_short_stall_after_a_long_one_is_short():
+    """An overloaded router that was suspended earlier would hear nobody."""
+    now = [0.0]
+    stalls = StallDetector(lambda: now[0])
+    now[0] += 6.0
+    assert stalls.recently_stalled_for_long
+    stalls.tick()
+    assert stalls.recently_stalled_for_long
+    now[0] += 0.6
+    stalls.tick()
+    assert not stalls.recently_stalled_for_long
+    now[0] += 1.0
+    assert stalls.recently_stalled
+    assert not stalls.recently_stalled_for_long
+
+
 async def test_resumed_router_does_not_forward_messages_of_a_dead_one():
     """A stalled VM resumes with queued messages of a router that is dead by then.
 
--- a/packages/standins/src/teaselledge_standins/modelengines.py
+++ b/packages/standins/src/teaselledge_standins/modelengines.py
@@ -198,6 +198,11 @@
     def context_tokens(self) -> int:
         return self.prefix_tokens + self.suffix_tokens + self.generated
 
+    @property
+    def total_tokens(self) -> int:
+        """Tokens of the prompt, and twice those of the response."""
+        return self.prefix_tokens + self.suffix_tokens + 2 * self.output_tokens
+
 
 class _Engine:
     """Runs requests in steps."""
@@ -388,13 +393,12 @@
         name = owner.name if owner else f"o{min(29, int(rng.expovariate(0.15)))}"
         unread_fraction = owner.unread_fraction if owner else 0.0
         organisation = Organisation(name, ())
-        tokens = job.context_tokens + 2 * job.output_tokens
         shares = self.result.shares
         started = asyncio.get_running_loop().time()
         for attempt in range(2):
             context = self._make_context(kind, job, number, attempt, organisation)
             self._placer.record_demand(context.request, organisation)
-            shares.record_request(name, context.arrived_at, tokens)
+            shares.record_request(name, context.arrived_at, job.total_tokens)
             placed: Result[Placement, Fault]
             if unread_fraction and rng.random() < unread_fraction:
                 placed = Error(Fault(FaultKind.ROUTER_BUSY, UNREAD_RETRY_SECONDS))
@@ -424,9 +428,8 @@
         job.source = self.engines.get(placement.fetch_from or "")
         self.engines[endpoint.id].submit(job)
         whole = await job.events.get()
-        tokens = job.prefix_tokens + job.suffix_tokens + 2 * job.output_tokens
         shares, owner = self.result.shares, context.organisation_name
-        shares.record_start(owner, loop.time(), tokens)
+        shares.record_start(owner, loop.time(), job.total_tokens)
         await asyncio.sleep(EngineSpeed.first_event_seconds)
         self._placer.on_response_started(context, endpoint)
         last = loop.time()
