Don't replace the level of a log line by a share

The line `request not placed` lost its `level` to the share of organisations: readers of logs that filter by level would have missed it. The field is `share_level` now, like the metric.

Test: test_fields_of_a_refusal_replace_none_of_its_log_line fails before.

--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -544,7 +544,7 @@
         return {
             "requested": usage.requested,
             "allocated": usage.allocated,
-            "level": round(level) if math.isfinite(level) else None,
+            "share_level": round(level) if math.isfinite(level) else None,
         }
 
     def _log_fields(self, best: Candidate) -> dict[str, float]:
--- a/packages/fleet/tests/test_placing.py
+++ b/packages/fleet/tests/test_placing.py
@@ -195,6 +195,13 @@
     assert isinstance(await place(harness, harness.context(organisation="other")), str)
 
 
+async def test_fields_of_a_refusal_replace_none_of_its_log_line():
+    """The line of a request that is not placed lost its level to a share."""
+    harness = PlacerHarness()
+    fields = harness.placer._share_fields("cellar")
+    assert not fields.keys() & {"at", "level", "part", "event", "id", "fault"}
+
+
 async def test_over_share_is_not_refused_while_engines_have_room():
     harness = PlacerHarness()
     harness.placer.shares.update_source(
