--- a/packages/fleet/tests/test_fair_tokens.py
+++ b/packages/fleet/tests/test_fair_tokens.py
@@ -43,7 +43,7 @@
 
 
 async def test_short_prompts_get_their_share_beside_a_flood_of_long_ones():
-    """Prompts with a long shared prefix counted as a quarter of their tokens."""
+    """Shares left out cached prefixes, three quarters of the tokens of long prompts."""
     violations = await play(
         [
             OrganisationLoad("lookups", 40, SHORT_ONLY),
@@ -54,7 +54,7 @@
 
 
 async def test_a_flood_of_short_prompts_gets_its_share_beside_long_ones():
-    """The flood was over its share by that count, and the long prompts were not."""
+    """Without cached prefixes in shares, only the short prompts were over theirs."""
     violations = await play(
         [
             OrganisationLoad("dossiers", 12, LONG_ONLY),
