Measure and log round trips to the other region

Logs and metrics had no figure for the path, so a full link, slow engines and a busy coordinator looked the same.

Queries to coordinators are timed, and those without a reply count as a second. Lines that name an engine give path_ms, the metrics page region_round_trip_seconds. Nothing decides by them yet.

test_roundtrips; test_metrics asks for the gauge within the first 4 KB of the page, where a collector cuts it. Tokens by organisation don't fit there and stay at its end.

--- a/packages/fleet/src/teaselledge_fleet/process/admissionrpc.py
+++ b/packages/fleet/src/teaselledge_fleet/process/admissionrpc.py
@@ -23,6 +23,7 @@
 from teaselledge_fleet.process.coordinators import Coordinators
 from teaselledge_fleet.process.endpoints import Endpoint, EndpointView
 from teaselledge_fleet.process.members import Members
+from teaselledge_fleet.process.roundtrips import RoundTrips
 from teaselledge_fleet.process.work import EndpointLoad, FleetLoad, name_hash
 
 __all__ = ["AdmissionRpc", "PeerTransport"]
@@ -81,6 +82,8 @@
     ----------
     queries_sent, queries_timed_out : int
         Queries to other routers, and those without a reply in time.
+    round_trips : RoundTrips
+        Time that queries to routers of each region take.
     """
 
     def __init__(
@@ -105,6 +108,7 @@
         """Load of this router that each endpoint's coordinator knows, by endpoint."""
         self.queries_sent = 0
         self.queries_timed_out = 0
+        self.round_trips = RoundTrips()
         socket.on(WorkReport, self._handle_report)
         socket.on(AdmissionRequest, self._handle_request)
         socket.on(AdmissionReply, self._handle_reply)
@@ -144,6 +148,7 @@
                 endpoint, prefill_seconds, self._admission.decide(query)
             )
         self.queries_sent += 1
+        sent_at = self._now()
         self._socket.send(coordinator.peer_address, _to_wire(query))
         decision = None
         try:
@@ -156,7 +161,9 @@
                 self._reported_load[endpoint.id] = UNKNOWN_LOAD
         if decision is None:
             self.queries_timed_out += 1
+            self.round_trips.record_loss(coordinator.region)
             return None
+        self.round_trips.observe(coordinator.region, self._now() - sent_at)
         return self._record_decision(endpoint, prefill_seconds, decision)
 
     def report_restart(self, endpoint: Endpoint, rate: int) -> None:
@@ -301,6 +308,9 @@
         decision = AdmissionDecision(bool(reply.admitted), remote_load)
         self._replies.resolve(reply.sequence or 0, decision)
 
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
 
 def _to_wire(query: AdmissionQuery) -> AdmissionRequest:
     return AdmissionRequest(
--- a/packages/fleet/src/teaselledge_fleet/process/metrics.py
+++ b/packages/fleet/src/teaselledge_fleet/process/metrics.py
@@ -71,6 +71,11 @@
     "admissions_unanswered": Metric(
         "counter", "questions", "Those that got no answer in time."
     ),
+    "region_round_trip_seconds": Metric(
+        "gauge",
+        "s",
+        "Recent mean round trip to another region, the longest, 0 if none was asked.",
+    ),
     "routers_answering": Metric("gauge", "routers", "Other routers heard lately."),
     "routers_advertised": Metric(
         "gauge", "routers", "Routers that callers are sent to, by this one's directory."
--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -23,13 +23,14 @@
 from teaselledge_fleet.process.eligibility import EligibleEndpoints
 from teaselledge_fleet.process.endpoints import Endpoint, EndpointView
 from teaselledge_fleet.process.forecast import engine_queue_wait
-from teaselledge_fleet.process.prefill import PREFILL_TIME_FRACTION
+from teaselledge_fleet.process.prefill import PREFILL_TIME_FRACTION, PrefillModel
 from teaselledge_fleet.process.prefixes import shared_prefix_tokens
 from teaselledge_fleet.process.results import OutlierDetector
 from teaselledge_fleet.process.retryafter import (
     retry_after_refusal,
     retry_without_endpoint,
 )
+from teaselledge_fleet.process.roundtrips import RoundTrips
 from teaselledge_fleet.process.shares import OrganisationShares, ShareStatus
 from teaselledge_fleet.process.signals import EndpointSignals
 from teaselledge_fleet.process.waiting import QueueWaitLimits
@@ -177,6 +178,8 @@
         self._wait_limits = QueueWaitLimits()
         self._chooser = EndpointChooser(self._distance, self._load, self._outliers)
         self._locator: Locator = _NoLocator()
+        self._round_trips = RoundTrips()
+        self._zones = zones
         self._sent: dict[tuple[str, str], _SentRequest] = {}
         self._check_admission: AdmissionCheck = _skip_admission_check
         self._report_restart: Callable[[Endpoint, int], None] = lambda endpoint, rate: (
@@ -184,9 +187,16 @@
         )
         self._is_sample_valid: Callable[[float], bool] = lambda sent_at: True
 
-    def set_admission_check(self, check_admission: AdmissionCheck) -> None:
-        """Set the function that queries an endpoint's coordinator."""
+    def set_admission_check(
+        self, check_admission: AdmissionCheck, round_trips: RoundTrips | None = None
+    ) -> None:
+        """Set the function that queries coordinators, and the round trips it measures.
+
+        Without the latter no path counts as congested.
+        """
         self._check_admission = check_admission
+        if round_trips is not None:
+            self._round_trips = round_trips
 
     def set_wait_limits(self, wait_limits: QueueWaitLimits) -> None:
         """Replace the limits of the queueing time, before any request is placed."""
@@ -499,6 +509,11 @@
         """Token usage and shares of organisations, as reported to this router."""
         return self._shares
 
+    @property
+    def prefill(self) -> PrefillModel:
+        """Estimates the prefill times of engines."""
+        return self._chooser.prefill
+
     def retain_endpoints(self) -> None:
         """Drop the state of endpoints that no longer exist."""
         names = {endpoint.id for endpoint in self._view.endpoints}
@@ -552,6 +567,7 @@
         load = self._load.total(best.endpoint.id)
         return {
             "wait_ms": round(best.wait * 1000),
+            "path_ms": round(self._path_seconds(best.endpoint) * 1000),
             "running": load.in_flight,
             "reading_before_ms": round(load.prefill_seconds * 1000),
             "failing": round(self._outliers.failure_rate(best.endpoint.id), 2),
@@ -561,6 +577,10 @@
             ),
         }
 
+    def _path_seconds(self, endpoint: Endpoint) -> float:
+        """Return the measured round-trip time to an endpoint's region."""
+        return self._round_trips.seconds(self._zones.get(endpoint.zone, ""))
+
     def _record_attempt(self, context: RequestContext, best: Candidate) -> None:
         self._load.add_local(best.endpoint.id, 1, best.prefill_seconds)
         sent = _SentRequest(best.prefill_seconds, self._now(), best.wait)
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -183,7 +183,9 @@
             self._socket,
             coordinators,
         )
-        self._placer.set_admission_check(self._admission_rpc.request_admission)
+        self._placer.set_admission_check(
+            self._admission_rpc.request_admission, self._admission_rpc.round_trips
+        )
         self._placer.set_restart_report(self._admission_rpc.report_restart)
         self._placer.set_locator(
             PrefixLocator(self._members, self._socket, coordinators)
@@ -426,6 +428,10 @@
         metrics.set("endpoint_connections", self._pool.opened)
         metrics.set("admissions_asked", self._admission_rpc.queries_sent)
         metrics.set("admissions_unanswered", self._admission_rpc.queries_timed_out)
+        metrics.set(
+            "region_round_trip_seconds",
+            self._admission_rpc.round_trips.longest_seconds(place.region),
+        )
         metrics.set("peer_sent_bytes", self._socket.sent_bytes)
         metrics.set("peer_malformed", self._socket.malformed_count)
         page = import_module(METRICS_PAGE_MODULE).metrics_page(metrics)
