--- a/packages/standins/src/teaselledge_standins/modelengines.py
+++ b/packages/standins/src/teaselledge_standins/modelengines.py
@@ -338,6 +338,7 @@
         wait_limits: QueueWaitLimits | None,
     ) -> None:
         self.result = LoadResult({kind.name: KindResult() for kind in kinds})
+        self._began = asyncio.get_running_loop().time()
         self._rng = rng
         view = EndpointView()
         endpoints = [
@@ -396,16 +397,17 @@
         shares = self.result.shares
         started = asyncio.get_running_loop().time()
         for attempt in range(2):
+            arrived = self._elapsed()
             context = self._make_context(kind, job, number, attempt, organisation)
             self._placer.record_demand(context.request, organisation)
-            shares.record_request(name, context.arrived_at, job.total_tokens)
+            shares.record_request(name, arrived, job.total_tokens)
             placed: Result[Placement, Fault]
             if unread_fraction and rng.random() < unread_fraction:
                 placed = Error(Fault(FaultKind.ROUTER_BUSY, UNREAD_RETRY_SECONDS))
             else:
                 placed = await self._placer.place(context)
             if placed.is_error():
-                shares.record_wait(name, context.arrived_at)
+                shares.record_wait(name, arrived)
                 delay = placed.error.retry_after or 0.0
                 left = started + kind.deadline - context.arrived_at
                 if attempt or delay > left * RETRY_DEADLINE_FRACTION:
@@ -419,6 +421,10 @@
             return
         result.refused += 1
 
+    def _elapsed(self) -> float:
+        """Return the seconds since the load began; the loop may have run before."""
+        return asyncio.get_running_loop().time() - self._began
+
     async def _run(
         self, context: RequestContext, placement: Placement, job: _Job, started: float
     ) -> bool:
@@ -429,13 +435,13 @@
         self.engines[endpoint.id].submit(job)
         whole = await job.events.get()
         shares, owner = self.result.shares, context.organisation_name
-        shares.record_start(owner, loop.time(), job.total_tokens)
+        shares.record_start(owner, self._elapsed(), job.total_tokens)
         await asyncio.sleep(EngineSpeed.first_event_seconds)
         self._placer.on_response_started(context, endpoint)
         last = loop.time()
         in_time = last - started <= context.route.latency_objective
         if not in_time:
-            shares.record_wait(owner, started)
+            shares.record_wait(owner, started - self._began)
         while not whole:
             whole = await job.events.get()
             in_time = in_time and (
