Show that a full link between regions takes organisations their engines

A model of eight routers in two regions, each with a placer of its own, that exchange load, usage and admission queries; bodies, events and queries between the regions share a link.

--- a/packages/standins/src/teaselledge_standins/modelengines.py
+++ b/packages/standins/src/teaselledge_standins/modelengines.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import itertools
 import random
 from collections import Counter, OrderedDict, deque
 from collections.abc import Iterable, Mapping, Sequence
@@ -28,6 +29,8 @@
 )
 from tornado.httputil import HTTPHeaders
 
+from teaselledge_standins.modelfleet import ModelFleet
+from teaselledge_standins.modellink import ModelLink
 from teaselledge_standins.routes import make_route
 from teaselledge_standins.shareledger import ShareLedger
 
@@ -42,6 +45,10 @@
 
 SERVICE = "books"
 MIN_IDLE_SECONDS = 0.001
+LINK_LATENCY_SECONDS = 0.02
+EVENT_BYTES = 300
+"""Size of an event of a response with its framing."""
+
 UNREAD_RETRY_SECONDS = 0.2
 """Retry-After of a router that refuses requests unread."""
 
@@ -140,6 +147,8 @@
         Time in which it sends requests, in seconds.
     unread_fraction : float
         Fraction of its requests that a router without time refuses unread.
+    routers : sequence of int
+        Routers to which its callers connect.
     """
 
     name: str
@@ -148,6 +157,7 @@
     begin: float = 0.0
     end: float = float("inf")
     unread_fraction: float = 0.0
+    routers: Sequence[int] = (0,)
 
 
 @dataclass
@@ -173,6 +183,8 @@
     kinds: dict[str, KindResult] = field(default_factory=dict)
     counters: Counter[str] = field(default_factory=Counter)
     shares: ShareLedger = field(default_factory=ShareLedger)
+    slowdowns: list[tuple[float, ...]] = field(default_factory=list)
+    """Estimated slowdown of the engines at each router, in each second."""
 
     @property
     def credit(self) -> float:
@@ -325,7 +337,7 @@
 
 
 class _Load:
-    """Callers, one router's placer, and engines."""
+    """Callers, the routers' placers, and engines."""
 
     def __init__(
         self,
@@ -336,10 +348,13 @@
         rng: random.Random,
         tokens_per_second: float,
         wait_limits: QueueWaitLimits | None,
+        router_count: int,
+        link_bytes_per_second: float,
     ) -> None:
         self.result = LoadResult({kind.name: KindResult() for kind in kinds})
         self._began = asyncio.get_running_loop().time()
         self._rng = rng
+        self._speed = speed
         view = EndpointView()
         endpoints = [
             Endpoint(name, SERVICE, name, zone, speed.slots)
@@ -349,10 +364,18 @@
         self.engines = {
             name: _Engine(name, speed, self.result.counters) for name in engines
         }
-        self._placer = FleetPlacer(view, next(iter(zones)), zones)
-        if wait_limits is not None:
-            self._placer.set_wait_limits(wait_limits)
-        self._placer.set_locator(_DirectoryLocator())
+        router_zones = list(itertools.islice(itertools.cycle(zones), router_count))
+        self._placers = [FleetPlacer(view, zone, zones) for zone in router_zones]
+        self._fleet = None
+        if router_count > 1:
+            regions = [zones[zone] for zone in router_zones]
+            links = {
+                region: ModelLink(link_bytes_per_second, LINK_LATENCY_SECONDS)
+                for region in regions
+                if link_bytes_per_second
+            }
+            self._fleet = ModelFleet(self._placers, regions, endpoints, zones, links)
+        locator = _DirectoryLocator()
         self._routes = {
             kind.name: make_route(
                 RetryPolicy.NEVER,
@@ -366,8 +389,27 @@
             for kind in kinds
         }
         routing = RoutingConfiguration(1, tuple(self._routes.values()), {}, ())
-        self._placer.apply_routing(routing)
-        self._placer.shares.set_guaranteed_rate(tokens_per_second)
+        for placer in self._placers:
+            if wait_limits is not None:
+                placer.set_wait_limits(wait_limits)
+            placer.set_locator(locator)
+            placer.apply_routing(routing)
+            placer.shares.set_guaranteed_rate(tokens_per_second)
+
+    def run(self) -> list[asyncio.Task[None]]:
+        """Start the engines and the exchange between the routers."""
+        tasks = [asyncio.create_task(engine.run()) for engine in self.engines.values()]
+        tasks.append(asyncio.create_task(self._record_slowdowns()))
+        if self._fleet is not None:
+            tasks.append(asyncio.create_task(self._fleet.run()))
+        return tasks
+
+    async def _record_slowdowns(self) -> None:
+        while True:
+            await asyncio.sleep(1.0)
+            self.result.slowdowns.append(
+                tuple(placer.prefill.slowdown(SERVICE) for placer in self._placers)
+            )
 
     async def request(
         self, kind: PromptKind, number: int, owner: OrganisationLoad | None = None
@@ -394,18 +436,20 @@
         name = owner.name if owner else f"o{min(29, int(rng.expovariate(0.15)))}"
         unread_fraction = owner.unread_fraction if owner else 0.0
         organisation = Organisation(name, ())
+        router = self._choose_router(owner)
+        placer = self._placers[router]
         shares = self.result.shares
         started = asyncio.get_running_loop().time()
         for attempt in range(2):
             arrived = self._elapsed()
             context = self._make_context(kind, job, number, attempt, organisation)
-            self._placer.record_demand(context.request, organisation)
+            placer.record_demand(context.request, organisation)
             shares.record_request(name, arrived, job.total_tokens)
             placed: Result[Placement, Fault]
             if unread_fraction and rng.random() < unread_fraction:
                 placed = Error(Fault(FaultKind.ROUTER_BUSY, UNREAD_RETRY_SECONDS))
             else:
-                placed = await self._placer.place(context)
+                placed = await placer.place(context)
             if placed.is_error():
                 shares.record_wait(name, arrived)
                 delay = placed.error.retry_after or 0.0
@@ -414,7 +458,7 @@
                     break
                 await asyncio.sleep(delay)
                 continue
-            in_time = await self._run(context, placed.ok, job, started)
+            in_time = await self._run(router, context, placed.ok, job, started)
             result.in_time += in_time
             result.late += not in_time
             result.earned += (kind.worth if in_time else kind.late_worth) * weight
@@ -425,30 +469,49 @@
         """Return the seconds since the load began; the loop may have run before."""
         return asyncio.get_running_loop().time() - self._began
 
+    def _choose_router(self, owner: OrganisationLoad | None) -> int:
+        if owner is None:
+            return 0
+        if len(owner.routers) == 1:
+            return owner.routers[0]
+        return self._rng.choice(owner.routers)
+
     async def _run(
-        self, context: RequestContext, placement: Placement, job: _Job, started: float
+        self,
+        router: int,
+        context: RequestContext,
+        placement: Placement,
+        job: _Job,
+        started: float,
     ) -> bool:
         """Run a request at its engine; return whether it was in time."""
         loop = asyncio.get_running_loop()
         endpoint = placement.endpoint
+        placer = self._placers[router]
+        if self._fleet is not None:
+            await self._fleet.send_body(router, endpoint, len(context.body))
         job.source = self.engines.get(placement.fetch_from or "")
         self.engines[endpoint.id].submit(job)
         whole = await job.events.get()
         shares, owner = self.result.shares, context.organisation_name
         shares.record_start(owner, self._elapsed(), job.total_tokens)
-        await asyncio.sleep(EngineSpeed.first_event_seconds)
-        self._placer.on_response_started(context, endpoint)
+        await asyncio.sleep(self._speed.first_event_seconds)
+        if self._fleet is not None:
+            await self._fleet.send_event(router, endpoint, EVENT_BYTES)
+        placer.on_response_started(context, endpoint)
         last = loop.time()
         in_time = last - started <= context.route.latency_objective
         if not in_time:
             shares.record_wait(owner, started - self._began)
         while not whole:
             whole = await job.events.get()
+            if self._fleet is not None:
+                await self._fleet.send_event(router, endpoint, EVENT_BYTES)
             in_time = in_time and (
                 loop.time() - last <= context.route.event_gap_objective
             )
             last = loop.time()
-        self._placer.on_attempt_ended(context, endpoint, Outcome.WHOLE)
+        placer.on_attempt_ended(context, endpoint, Outcome.WHOLE)
         return in_time
 
     def _make_context(
@@ -495,13 +558,16 @@
     tokens_per_second: float = 0.0,
     wait_limits: QueueWaitLimits | None = None,
     organisations: Sequence[OrganisationLoad] = (),
+    router_count: int = 1,
+    link_bytes_per_second: float = 0.0,
 ) -> LoadResult:
-    """Play a load on engines behind one router's placer.
+    """Play a load on engines behind the placers of some routers.
 
     Parameters
     ----------
     engines, zones : mapping of str to str
-        Zone of each engine, and region of each zone; the router is in the first zone.
+        Zone of each engine, and region of each zone. The routers are in these zones in
+        turn.
     kinds : sequence of PromptKind
         The load.
     seconds : float
@@ -516,6 +582,10 @@
         Limits of the queueing time that replace the usual ones.
     organisations : sequence of OrganisationLoad
         Requests of each organisation. They replace the rates of the kinds.
+    router_count : int
+        Number of routers; one alone has no coordinators.
+    link_bytes_per_second : float
+        Rate of the link between regions, each way; 0 if regions are near.
     """
     random.seed(seed)
     rng = random.Random(seed)
@@ -527,8 +597,10 @@
         rng,
         tokens_per_second,
         wait_limits,
+        router_count,
+        link_bytes_per_second,
     )
-    steps = [asyncio.create_task(engine.run()) for engine in load.engines.values()]
+    tasks = load.run()
     async with asyncio.TaskGroup() as callers:
         arrivals = (
             _organisation_arrivals(organisations, kinds, seconds, rng)
@@ -538,8 +610,8 @@
         for number, (delay, kind, owner) in enumerate(arrivals):
             await asyncio.sleep(delay)
             callers.create_task(load.request(kind, number, owner))
-    for step in steps:
-        step.cancel()
+    for task in tasks:
+        task.cancel()
     return load.result
 
 
