Count the congestion of the link between regions (FAIR)

Cause: all traffic between two regions shares a narrow link. At a peak half of all prompts went across it; it filled, and first events took 0.7 to 1.65 s there and 0.3 to 0.5 s within a region, at shorter queues (log of all routers). Nothing counted that. Prompts kept going there; queries were lost, so that the load beyond looked small; and routers learnt the delay as engines that are up to 7 times slower, and refused prompts for their own region's.

Change: round trips measured by queries count in the cost of an engine and in the limit on waiting; a query without reply counts as 1 s. Response times over a congested path, of plain services too, tell nothing about the endpoint.

Taken out, each of the four deciding lines makes one fail.

The same class elsewhere: the estimate of plain endpoints took the path's delay, too; mended here as it is the same line. The reply times of the prefix directory are not looked at.

--- a/packages/fleet/src/teaselledge_fleet/process/distance.py
+++ b/packages/fleet/src/teaselledge_fleet/process/distance.py
@@ -1,7 +1,12 @@
-"""Latency and transfer cost between zones."""
+"""Latency, congestion and transfer cost between zones.
+
+Answers a load that fills the link between two regions, which all their traffic shares.
+"""
 
 from collections.abc import Mapping
 
+from teaselledge_fleet.process.roundtrips import RoundTrips
+
 __all__ = ["Distance"]
 
 SAME_REGION_ROUND_TRIP_SECONDS = 0.003
@@ -22,9 +27,27 @@
     def __init__(self, zone: str, zones: Mapping[str, str]) -> None:
         self._zone = zone
         self._zones = zones
+        self._round_trips = RoundTrips()
+
+    def set_round_trips(self, round_trips: RoundTrips) -> None:
+        """Set the measured round-trip times to other regions."""
+        self._round_trips = round_trips
 
     def round_trip_seconds(self, zone: str) -> float:
-        """Return the round-trip time to a zone."""
+        """Return the round-trip time to a zone, with the congestion of the path."""
+        return self._uncongested_seconds(zone) + self.congestion_seconds(zone)
+
+    def congestion_seconds(self, zone: str) -> float:
+        """Return how much longer than usual a round trip to a zone takes.
+
+        Within a region it is 0: only regions are joined by a narrow link.
+        """
+        if self._is_same_region(zone):
+            return 0.0
+        measured = self._round_trips.seconds(self._zones.get(zone, ""))
+        return max(0.0, measured - self._uncongested_seconds(zone))
+
+    def _uncongested_seconds(self, zone: str) -> float:
         if zone == self._zone:
             return 0.0
         return (
--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -64,6 +64,10 @@
 after another. A request for which three of its best endpoints have no room is unlikely
 to be served in time."""
 
+MAX_CONGESTION_SECONDS = 0.02
+"""Congestion of the path to an endpoint from which its response times tell nothing
+about the endpoint. A body takes several round trips, and each of them is late."""
+
 MAX_PLAIN_WAIT_SECONDS = 60.0
 """Queueing time of plain requests in queries; their coordinators don't limit it."""
 
@@ -178,8 +182,6 @@
         self._wait_limits = QueueWaitLimits()
         self._chooser = EndpointChooser(self._distance, self._load, self._outliers)
         self._locator: Locator = _NoLocator()
-        self._round_trips = RoundTrips()
-        self._zones = zones
         self._sent: dict[tuple[str, str], _SentRequest] = {}
         self._check_admission: AdmissionCheck = _skip_admission_check
         self._report_restart: Callable[[Endpoint, int], None] = lambda endpoint, rate: (
@@ -196,7 +198,7 @@
         """
         self._check_admission = check_admission
         if round_trips is not None:
-            self._round_trips = round_trips
+            self._distance.set_round_trips(round_trips)
 
     def set_wait_limits(self, wait_limits: QueueWaitLimits) -> None:
         """Replace the limits of the queueing time, before any request is placed."""
@@ -355,13 +357,14 @@
     def _remaining_wait(
         self, context: RequestContext, candidate: Candidate, share_status: ShareStatus
     ) -> float:
-        return self._wait_limits.max_wait(
+        limit = self._wait_limits.max_wait(
             context.route,
             context.service,
             share_status,
             candidate.has_prefix,
             self._now() - context.arrived_at,
         )
+        return limit - self._distance.congestion_seconds(candidate.endpoint.zone)
 
     def _retry_after(self, context: RequestContext, over_share: bool) -> float:
         """Return the delay after which a refused caller should retry, in seconds."""
@@ -470,6 +473,8 @@
         self, context: RequestContext, endpoint: Endpoint, sent: _SentRequest
     ) -> None:
         """Record how long an endpoint took to begin its response."""
+        if self._distance.congestion_seconds(endpoint.zone) > MAX_CONGESTION_SECONDS:
+            return
         elapsed = self._now() - sent.sent_at
         if context.request.prompt is None:
             self._chooser.response_times.observe(endpoint.id, elapsed)
@@ -567,7 +572,9 @@
         load = self._load.total(best.endpoint.id)
         return {
             "wait_ms": round(best.wait * 1000),
-            "path_ms": round(self._path_seconds(best.endpoint) * 1000),
+            "path_ms": round(
+                self._distance.round_trip_seconds(best.endpoint.zone) * 1000
+            ),
             "running": load.in_flight,
             "reading_before_ms": round(load.prefill_seconds * 1000),
             "failing": round(self._outliers.failure_rate(best.endpoint.id), 2),
@@ -577,10 +584,6 @@
             ),
         }
 
-    def _path_seconds(self, endpoint: Endpoint) -> float:
-        """Return the measured round-trip time to an endpoint's region."""
-        return self._round_trips.seconds(self._zones.get(endpoint.zone, ""))
-
     def _record_attempt(self, context: RequestContext, best: Candidate) -> None:
         self._load.add_local(best.endpoint.id, 1, best.prefill_seconds)
         sent = _SentRequest(best.prefill_seconds, self._now(), best.wait)
--- a/packages/fleet/tests/test_admission.py
+++ b/packages/fleet/tests/test_admission.py
@@ -137,6 +137,22 @@
             assert not decision.admitted
 
 
+async def test_queries_measure_the_round_trip_to_a_region():
+    """Only they show that a link is full before a prompt has been sent across it."""
+    async with running_gossip_fleet(
+        make_store(ENGINES[:1]), SMALL_FLEET_ROUTERS, decode_empty_routing
+    ) as fleet:
+        await asyncio.sleep(5)
+        engine = ENGINES[0]
+        coordinator = fleet.routers[0].admission_rpc._coordinators.for_endpoint(engine)
+        rpc = next(r for r in fleet.routers if r.vm != coordinator.vm).admission_rpc
+        await rpc.request_admission(engine, 0.05, 1.0)
+        assert 0.0 < rpc.round_trips.seconds(coordinator.region) < 0.1
+        rpc._socket.send = lambda address, payload: None
+        await rpc.request_admission(engine, 0.05, 1.0)
+        assert rpc.round_trips.seconds(coordinator.region) > 0.4
+
+
 async def test_an_outdated_report_is_ignored():
     """Datagrams arrive out of order; load that has ended must not come back."""
     admission = AdmissionController()
--- a/packages/fleet/tests/test_placing.py
+++ b/packages/fleet/tests/test_placing.py
@@ -9,6 +9,7 @@
 from teaselledge_fleet.process.placing import FleetPlacer
 from teaselledge_fleet.process.prefixes import rendezvous_order
 from teaselledge_fleet.process.revision import Revision
+from teaselledge_fleet.process.roundtrips import RoundTrips
 from teaselledge_fleet.process.shares import TokenUsage
 from teaselledge_fleet.process.signals import (
     LEAVING_RETENTION_SECONDS,
@@ -549,3 +550,51 @@
     assert await slowdown_after_late_responses(harness, 100) == 1.0
     harness.placer.set_sample_filter(lambda at: True)
     assert await slowdown_after_late_responses(harness, 20) > 1.0
+
+
+async def no_reply(endpoint, prefill_seconds, max_wait, warmup_rate):
+    return None
+
+
+async def test_no_prompt_waits_on_a_full_link_beyond_its_objective():
+    """The engines beyond the link look idle, and their responses take a second more."""
+    harness, round_trips = PlacerHarness(), RoundTrips()
+    harness.placer.set_admission_check(no_reply, round_trips)
+    harness.placer.load.update_source(
+        "r2",
+        {name_hash(e.id): EndpointLoad(5, 0.6) for e in ENGINES if e.zone != "far"},
+    )
+    assert await place(harness, harness.context()) == "e4"
+    round_trips.record_loss("east")
+    refused = await place(harness, harness.context())
+    assert refused.kind is FaultKind.OVER_CAPACITY
+
+
+async def test_prompts_stay_in_their_region_while_the_link_is_congested():
+    """A prefix cached beyond the link would keep the link full."""
+    harness, round_trips = PlacerHarness(), RoundTrips()
+    harness.placer.set_admission_check(no_reply, round_trips)
+    harness.placer.set_locator(FakeDirectory([name_hash("e4")]))
+    assert await place(harness, harness.context(prefix_tokens=3_000)) == "e4"
+    for _ in range(10):
+        round_trips.observe("east", 0.36)
+    assert await place(harness, harness.context(prefix_tokens=3_000)) != "e4"
+
+
+async def test_delay_of_a_full_link_is_not_attributed_to_engines():
+    """Requests would be refused for which engines of the own region have room."""
+    for engine in ENGINES:
+        harness, round_trips = PlacerHarness(), RoundTrips()
+        harness.placer.set_admission_check(no_reply, round_trips)
+        harness.view.merge(
+            EndpointEntry(other.id, Revision(0, 2), None)
+            for other in ENGINES
+            if other is not engine
+        )
+        context = harness.context(suffix_tokens=12_000)
+        assert await place(harness, context) == engine.id
+        await asyncio.sleep(3.0)
+        round_trips.record_loss("east")
+        harness.placer.on_response_started(context, engine)
+        slowdown = harness.placer.prefill.slowdown("books")
+        assert (slowdown == 1.0) == (engine.zone == "far")
