--- a/packages/fleet/src/teaselledge_fleet/connection/figures.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/figures.py
@@ -8,6 +8,7 @@
     MemberState,
     MemberStatus,
 )
+from teaselledge_fleet.process.prefill import SlowdownSamples
 from teaselledge_fleet.process.shares import TokenUsage
 from teaselledge_fleet.process.work import EndpointLoad, name_hash
 
@@ -15,10 +16,12 @@
     "pack_member_ages",
     "pack_member_statuses",
     "pack_pulse_marks",
+    "pack_slowdowns",
     "pack_usage",
     "pack_loads",
     "unpack_member_statuses",
     "unpack_pulse_marks",
+    "unpack_slowdowns",
     "unpack_usage",
     "unpack_loads",
 ]
@@ -29,6 +32,10 @@
 USAGE_FORMAT = struct.Struct("!III")
 """Hash of an organisation's name, and tokens requested and allocated."""
 
+SLOWDOWN_FORMAT = struct.Struct("!IHh")
+"""Hash of a service's name, weight of the responses in hundredths of a second, and the
+natural logarithm of their mean slowdown in thousandths."""
+
 STATUS_FORMAT = struct.Struct("!IBB")
 """Hash of a router's name, its state, and its CPU utilisation in percent."""
 
@@ -37,7 +44,10 @@
 """Maximum age that fits into a byte, 2.55 s; greater ages make no difference."""
 
 MS_PER_SECOND = 1000
+SLOWDOWN_WEIGHT_UNIT_SECONDS = 0.01
+SLOWDOWN_LOG_UNIT = 0.001
 PERCENT = 100
+MAX_INT16 = 0x7FFF
 MAX_UINT16 = 0xFFFF
 MAX_UINT32 = 0xFFFFFFFF
 MAX_PACKED_BYTES = 1000
@@ -93,6 +103,35 @@
     }
 
 
+def pack_slowdowns(slowdowns: dict[int, SlowdownSamples]) -> bytes:
+    """Return responses by hash of the service's name as bytes, most weight first."""
+    rows = sorted(slowdowns.items(), key=lambda item: -item[1].weight)
+    rows = rows[: MAX_PACKED_BYTES // SLOWDOWN_FORMAT.size]
+    return b"".join(
+        SLOWDOWN_FORMAT.pack(
+            hashed_name,
+            _clamp(samples.weight / SLOWDOWN_WEIGHT_UNIT_SECONDS, MAX_UINT16),
+            _clamp_signed(samples.mean_log / SLOWDOWN_LOG_UNIT, MAX_INT16),
+        )
+        for hashed_name, samples in rows
+        if samples.weight > 0
+    )
+
+
+def unpack_slowdowns(data: bytes) -> dict[int, SlowdownSamples]:
+    """Return responses by hash of the service's name.
+
+    An incomplete row is ignored.
+    """
+    complete_rows = data[: len(data) - len(data) % SLOWDOWN_FORMAT.size]
+    return {
+        hashed_name: SlowdownSamples.from_mean(
+            weight * SLOWDOWN_WEIGHT_UNIT_SECONDS, mean_log * SLOWDOWN_LOG_UNIT
+        )
+        for hashed_name, weight, mean_log in SLOWDOWN_FORMAT.iter_unpack(complete_rows)
+    }
+
+
 def pack_member_statuses(reports: list[MemberReport]) -> bytes:
     """Return the state and utilisation of routers as bytes."""
     return b"".join(
@@ -157,5 +196,9 @@
     return statuses
 
 
+def _clamp_signed(number: float, maximum: int) -> int:
+    return max(-maximum, min(round(number), maximum))
+
+
 def _clamp(number: float, maximum: int) -> int:
     return max(0, min(int(number), maximum))
--- a/packages/fleet/src/teaselledge_fleet/process/gossip.py
+++ b/packages/fleet/src/teaselledge_fleet/process/gossip.py
@@ -20,10 +20,12 @@
     pack_member_ages,
     pack_member_statuses,
     pack_pulse_marks,
+    pack_slowdowns,
     pack_usage,
     unpack_loads,
     unpack_member_statuses,
     unpack_pulse_marks,
+    unpack_slowdowns,
     unpack_usage,
 )
 from teaselledge_fleet.connection.peers import StateClient
@@ -40,6 +42,7 @@
     plan_deliveries,
 )
 from teaselledge_fleet.process.members import Member, MemberReport, Members
+from teaselledge_fleet.process.prefill import PrefillModel
 from teaselledge_fleet.process.revision import Revision
 from teaselledge_fleet.process.sent import NO_MARK, LoadStats
 from teaselledge_fleet.process.shares import OrganisationShares
@@ -117,6 +120,7 @@
         load: FleetLoad,
         admission: AdmissionController,
         shares: OrganisationShares,
+        prefill: PrefillModel,
         socket: PeerTransport,
         coordinators: Coordinators,
         stalls: StallDetector | None = None,
@@ -125,7 +129,7 @@
         self._store_cache = store_cache
         self._seeds = tuple(seeds)
         self._load = load
-        self._totals = LoadTotals(load, shares, admission)
+        self._totals = LoadTotals(load, shares, admission, prefill)
         self._coordinators = coordinators
         self._advertised_log = AdvertisedLog(members)
         self._topology = Topology(members)
@@ -320,6 +324,7 @@
             self._totals.record_sent(self._sequence, stats)
         heartbeat.work = pack_loads(stats.loads)
         heartbeat.uses = pack_usage(stats.usage)
+        heartbeat.slowdowns = pack_slowdowns(stats.slowdowns) or None
         return heartbeat
 
     def _deliver(self, heartbeat: Pulse, deliveries: Iterable[Delivery]) -> None:
@@ -482,8 +487,11 @@
         scope = heartbeat.scope or Scope.OWN
         near = sender.zone == self._members.own.zone
         aggregates = self._topology.is_aggregator
-        load = unpack_loads(heartbeat.work or b"")
-        stats = LoadStats(load, unpack_usage(heartbeat.uses or b""))
+        stats = LoadStats(
+            unpack_loads(heartbeat.work or b""),
+            unpack_usage(heartbeat.uses or b""),
+            unpack_slowdowns(heartbeat.slowdowns or b""),
+        )
         if scope == Scope.ZONE:
             if not near and aggregates:
                 self._topology.record_aggregator(sender)
--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -86,12 +86,15 @@
         Expected queueing time, in seconds.
     granted : bool
         Whether the endpoint's coordinator admitted it.
+    slowdown : float
+        Slowdown of the engines with which the prefill time was predicted.
     """
 
     prefill_seconds: float
     sent_at: float
     wait: float = 0.0
     granted: bool = False
+    slowdown: float = 1.0
 
 
 class AdmissionCheck(Protocol):
@@ -407,8 +410,11 @@
                 before = self._load.total(name).subtract(own_request)
                 wait = engine_queue_wait(before, best.endpoint.slots)
                 admitted = replace(best, wait=wait)
-                self._sent[context.request.id, name] = _SentRequest(
-                    best.prefill_seconds, self._now(), wait, granted=True
+                self._sent[context.request.id, name] = replace(
+                    self._sent[context.request.id, name],
+                    sent_at=self._now(),
+                    wait=wait,
+                    granted=True,
                 )
             return admitted
         finally:
@@ -481,7 +487,7 @@
             return
         prefill_seconds = sent.wait * PREFILL_TIME_FRACTION + sent.prefill_seconds
         elapsed -= self._distance.round_trip_seconds(endpoint.zone)
-        self._chooser.prefill.observe(endpoint.service, prefill_seconds, elapsed)
+        self.prefill.observe(endpoint.service, prefill_seconds, elapsed, sent.slowdown)
 
     def on_attempt_ended(
         self, context: RequestContext, endpoint: Endpoint, outcome: Outcome
@@ -579,14 +585,17 @@
             "reading_before_ms": round(load.prefill_seconds * 1000),
             "failing": round(self._outliers.failure_rate(best.endpoint.id), 2),
             "keeps_part": best.has_prefix,
-            "reading_factor": round(
-                self._chooser.prefill.slowdown(best.endpoint.service), 2
-            ),
+            "reading_factor": round(self.prefill.slowdown(best.endpoint.service), 2),
         }
 
     def _record_attempt(self, context: RequestContext, best: Candidate) -> None:
         self._load.add_local(best.endpoint.id, 1, best.prefill_seconds)
-        sent = _SentRequest(best.prefill_seconds, self._now(), best.wait)
+        sent = _SentRequest(
+            best.prefill_seconds,
+            self._now(),
+            best.wait,
+            slowdown=self.prefill.slowdown(best.endpoint.service),
+        )
         self._sent[context.request.id, best.endpoint.id] = sent
 
     def _remove_attempt(self, context: RequestContext, endpoint: Endpoint) -> None:
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -197,6 +197,7 @@
             self._placer.load,
             admission,
             self._placer.shares,
+            self._placer.prefill,
             self._socket,
             coordinators,
         )
--- a/packages/fleet/src/teaselledge_fleet/process/sent.py
+++ b/packages/fleet/src/teaselledge_fleet/process/sent.py
@@ -1,9 +1,10 @@
 """Statistics that this router sent, to subtract them from an aggregator's totals."""
 
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol, Self, TypeVar
 
+from teaselledge_fleet.process.prefill import SlowdownSamples
 from teaselledge_fleet.process.shares import TokenUsage
 from teaselledge_fleet.process.work import EndpointLoad
 
@@ -40,15 +41,20 @@
         Load by hash of the endpoint.
     usage : dict of int to TokenUsage
         Tokens requested and allocated in the share window, by hash of the organisation.
+    slowdowns : dict of int to SlowdownSamples
+        Responses from which the slowdown of engines follows, by hash of the service.
     """
 
     loads: dict[int, EndpointLoad]
     usage: dict[int, TokenUsage]
+    slowdowns: dict[int, SlowdownSamples] = field(default_factory=dict)
 
     def subtract(self, other: "LoadStats") -> "LoadStats":
         """Return these statistics minus those of another router."""
         return LoadStats(
-            _subtract(self.loads, other.loads), _subtract(self.usage, other.usage)
+            _subtract(self.loads, other.loads),
+            _subtract(self.usage, other.usage),
+            _subtract(self.slowdowns, other.slowdowns),
         )
 
 
--- a/packages/fleet/src/teaselledge_fleet/process/sums.py
+++ b/packages/fleet/src/teaselledge_fleet/process/sums.py
@@ -4,6 +4,7 @@
 
 from teaselledge_fleet.process.admission import AdmissionController
 from teaselledge_fleet.process.members import Member
+from teaselledge_fleet.process.prefill import PrefillModel, SlowdownSamples
 from teaselledge_fleet.process.sent import NO_MARK, LoadStats, SentLoadStats, mark_of
 from teaselledge_fleet.process.shares import OrganisationShares, TokenUsage
 from teaselledge_fleet.process.sources import EXPIRY_SECONDS, TOTAL_EXPIRY_SECONDS
@@ -26,6 +27,8 @@
         Counts this router's token usage, and stores that of other routers.
     admission : AdmissionController
         Counts the load of endpoints that this router coordinates.
+    prefill : PrefillModel
+        Estimates engines' speed from the responses at this and other routers.
     """
 
     def __init__(
@@ -33,10 +36,12 @@
         load: FleetLoad,
         shares: OrganisationShares,
         admission: AdmissionController,
+        prefill: PrefillModel,
     ) -> None:
         self._load = load
         self._shares = shares
         self._admission = admission
+        self._prefill = prefill
         self._sent = SentLoadStats()
         self._marks: dict[str, int] = {}
         """Marks of the latest heartbeats of other routers, by VM."""
@@ -45,7 +50,11 @@
 
     def own(self) -> LoadStats:
         """Return the statistics of this router."""
-        return LoadStats(self._admission.total_loads(), self._shares.local())
+        return LoadStats(
+            self._admission.total_loads(),
+            self._shares.local(),
+            self._prefill.local(),
+        )
 
     def for_scope(self, scope: Scope, zone_peers: Iterable[Member]) -> LoadStats | None:
         """Return the statistics to send in a scope; None if the scope has none.
@@ -62,7 +71,11 @@
         own = self.own()
         if scope is Scope.OWN:
             return own
-        loads, usage = dict(own.loads), dict(own.usage)
+        loads, usage, slowdowns = (
+            dict(own.loads),
+            dict(own.usage),
+            dict(own.slowdowns),
+        )
         sources = {member.vm for member in zone_peers}
         if scope is Scope.FLEET:
             sources |= {_zone_source(zone) for zone in self._zones}
@@ -73,7 +86,9 @@
             loads[key] = loads.get(key, EndpointLoad()) + load
         for key, used in self._shares.sum_of_sources(sources).items():
             usage[key] = usage.get(key, TokenUsage()) + used
-        return LoadStats(loads, usage)
+        for key, samples in self._prefill.sum_of_sources(sources).items():
+            slowdowns[key] = slowdowns.get(key, SlowdownSamples()) + samples
+        return LoadStats(loads, usage, slowdowns)
 
     def record_sent(self, sequence: int, stats: LoadStats) -> None:
         """Record this router's statistics as sent in a heartbeat."""
@@ -97,6 +112,7 @@
         """Apply the total of all other routers, sent by this zone's aggregator."""
         self._load.retain_only_source(OTHERS_SOURCE)
         self._shares.retain_only_source(OTHERS_SOURCE)
+        self._prefill.retain_only_source(OTHERS_SOURCE)
         self._update(OTHERS_SOURCE, stats, TOTAL_EXPIRY_SECONDS)
 
     def update_fleet(self, stats: LoadStats, mark: int) -> None:
@@ -119,10 +135,12 @@
         if all(self._load.is_fresh(_zone_source(zone)) for zone in zones):
             self._load.remove_source(OTHERS_SOURCE)
             self._shares.remove_source(OTHERS_SOURCE)
+            self._prefill.remove_source(OTHERS_SOURCE)
 
     def _update(self, source: str, stats: LoadStats, seconds: float) -> None:
         self._load.update_source(source, stats.loads, seconds)
         self._shares.update_source(source, stats.usage, seconds)
+        self._prefill.update_source(source, stats.slowdowns, seconds)
 
 
 def _zone_source(zone: str) -> str:
--- a/packages/fleet/tests/test_gossip.py
+++ b/packages/fleet/tests/test_gossip.py
@@ -159,6 +159,22 @@
         assert totals == {2 * LARGE_FLEET}
 
 
+async def test_routers_of_small_and_large_fleets_share_the_speed_of_engines():
+    """Routers with estimates of their own refused what others would have sent."""
+    for count in (ROUTERS, 40):
+        async with running_gossip_fleet(
+            new_store(), count, decode_empty_routing
+        ) as fleet:
+            await asyncio.sleep(5)
+            models = [router.gossip._totals._prefill for router in fleet.routers]
+            for _ in range(50):
+                await asyncio.sleep(0.1)
+                models[0].observe("books", 1.0, 2.5, models[0].slowdown("books"))
+            slowdowns = [model.slowdown("books") for model in models]
+        assert max(slowdowns) <= 1.1 * min(slowdowns)
+        assert min(slowdowns) > 1.5
+
+
 async def test_sent_bytes_stay_small_in_a_large_fleet():
     store = new_store()
     async with running_gossip_fleet(store, LARGE_FLEET, decode_empty_routing) as fleet:
--- a/packages/fleet/tests/test_placing.py
+++ b/packages/fleet/tests/test_placing.py
@@ -7,6 +7,7 @@
 from teaselledge_fleet.process.admission import AdmissionDecision
 from teaselledge_fleet.process.endpoints import Endpoint, EndpointEntry, EndpointView
 from teaselledge_fleet.process.placing import FleetPlacer
+from teaselledge_fleet.process.prefill import PREFILL_TIME_FRACTION, SlowdownSamples
 from teaselledge_fleet.process.prefixes import rendezvous_order
 from teaselledge_fleet.process.revision import Revision
 from teaselledge_fleet.process.roundtrips import RoundTrips
@@ -598,3 +599,26 @@
         harness.placer.on_response_started(context, engine)
         slowdown = harness.placer.prefill.slowdown("books")
         assert (slowdown == 1.0) == (engine.zone == "far")
+
+
+async def test_responses_are_compared_with_what_was_predicted_for_them():
+    """The estimate of slower engines grew while responses were on their way.
+
+    Compared with the new one, each response would count as so many times slower again.
+    """
+    harness = PlacerHarness()
+    prefill = harness.placer.prefill
+    sent = []
+    for number in range(4):
+        context = harness.context(f"p{number}", suffix_tokens=12_000)
+        sent.append((context, harness.view.get(await place(harness, context))))
+    learnt = {name_hash("books"): SlowdownSamples.from_mean(1000.0, 1.0)}
+    prefill.update_source("r2", learnt)
+    await asyncio.sleep(0.5)
+    grown = prefill.slowdown("books")
+    for context, engine in sent:
+        predicted = context.prefill_seconds / PREFILL_TIME_FRACTION
+        await asyncio.sleep(max(0.0, grown * predicted - 0.5))
+        harness.placer.on_response_started(context, engine)
+    samples = prefill.local()[name_hash("books")]
+    assert samples.mean_log < 1.5
--- a/packages/standins/src/teaselledge_standins/modelfleet.py
+++ b/packages/standins/src/teaselledge_standins/modelfleet.py
@@ -152,11 +152,13 @@
     def _send_heartbeats(self) -> None:
         totals = self._admission.total_loads()
         usages = [placer.shares.local() for placer in self._placers]
+        slowdowns = [placer.prefill.local() for placer in self._placers]
         for receiver, placer in enumerate(self._placers):
             placer.load.update_source("coordinators", totals)
-            for sender, usage in enumerate(usages):
+            for sender in range(len(self._placers)):
                 if sender != receiver:
-                    placer.shares.update_source(str(sender), usage)
+                    placer.shares.update_source(str(sender), usages[sender])
+                    placer.prefill.update_source(str(sender), slowdowns[sender])
 
 
 class _Querier:
--- a/packages/standins/src/teaselledge_standins/spreadfleet.py
+++ b/packages/standins/src/teaselledge_standins/spreadfleet.py
@@ -178,6 +178,7 @@
             load,
             admission,
             placer.shares,
+            placer.prefill,
             link,
             coordinators,
             StallDetector(clock),
--- a/packages/wire/fleet.thrift
+++ b/packages/wire/fleet.thrift
@@ -82,6 +82,9 @@
   19: optional i32 era,
   // drained zones, and those that were taken back a moment ago
   20: optional list<ZoneState> zones,
+  // responses of engines from which their slowdown follows, packed; of the same routers
+  // as work and uses
+  21: optional binary slowdowns,
 }
 
 // Snapshot of the sender's full state, fetched by a router whose state is older.
--- a/packages/wire/src/teaselledge_wire/gen/fleet/ttypes.py
+++ b/packages/wire/src/teaselledge_wire/gen/fleet/ttypes.py
@@ -531,6 +531,7 @@
      - hops
      - era
      - zones
+     - slowdowns
 
     """
 
@@ -555,10 +556,11 @@
         'hops',
         'era',
         'zones',
+        'slowdowns',
     )
 
 
-    def __init__(self, protocol=None, sender=None, sequence=None, version=None, digest=None, store_age=None, follower=None, changes=None, scope=None, work=None, uses=None, others=None, alive=None, admitting=None, alive_ages=None, alive_marks=None, pass_to=None, hops=None, era=None, zones=None,):
+    def __init__(self, protocol=None, sender=None, sequence=None, version=None, digest=None, store_age=None, follower=None, changes=None, scope=None, work=None, uses=None, others=None, alive=None, admitting=None, alive_ages=None, alive_marks=None, pass_to=None, hops=None, era=None, zones=None, slowdowns=None,):
         self.protocol = protocol
         self.sender = sender
         self.sequence = sequence
@@ -579,6 +581,7 @@
         self.hops = hops
         self.era = era
         self.zones = zones
+        self.slowdowns = slowdowns
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -719,6 +722,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.STRING:
+                    self.slowdowns = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -824,6 +832,10 @@
                 iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.slowdowns is not None:
+            oprot.writeFieldBegin('slowdowns', TType.STRING, 21)
+            oprot.writeBinary(self.slowdowns)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1892,6 +1904,7 @@
     (18, TType.BYTE, 'hops', None, None, ),  # 18
     (19, TType.I32, 'era', None, None, ),  # 19
     (20, TType.LIST, 'zones', (TType.STRUCT, [ZoneState, None], False), None, ),  # 20
+    (21, TType.STRING, 'slowdowns', 'BINARY', None, ),  # 21
 )
 all_structs.append(WholeState)
 WholeState.thrift_spec = (
