Don't take the overhead off a queueing time that contains it

A prompt counts as queued until its first event has been seen, some 0.1 s after the engine has read it. A request that waits therefore passes the overhead of those before it while it waits; taken off its response time once more, busy engines looked up to twice as fast as they are and got longer queues than could be served in time. What remains is the time in which a started response is not yet reported.

test_prefill and test_placing: with either line taken out one fails.

--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -23,7 +23,7 @@
 from teaselledge_fleet.process.eligibility import EligibleEndpoints
 from teaselledge_fleet.process.endpoints import Endpoint, EndpointView
 from teaselledge_fleet.process.forecast import engine_queue_wait
-from teaselledge_fleet.process.prefill import PREFILL_TIME_FRACTION, PrefillModel
+from teaselledge_fleet.process.prefill import PrefillModel
 from teaselledge_fleet.process.prefixes import shared_prefix_tokens
 from teaselledge_fleet.process.results import OutlierDetector
 from teaselledge_fleet.process.retryafter import (
@@ -485,9 +485,10 @@
         if context.request.prompt is None:
             self._chooser.response_times.observe(endpoint.id, elapsed)
             return
-        prefill_seconds = sent.wait * PREFILL_TIME_FRACTION + sent.prefill_seconds
         elapsed -= self._distance.round_trip_seconds(endpoint.zone)
-        self.prefill.observe(endpoint.service, prefill_seconds, elapsed, sent.slowdown)
+        self.prefill.observe(
+            endpoint.service, sent.prefill_seconds, elapsed, sent.slowdown, sent.wait
+        )
 
     def on_attempt_ended(
         self, context: RequestContext, endpoint: Endpoint, outcome: Outcome
--- a/packages/fleet/src/teaselledge_fleet/process/prefill.py
+++ b/packages/fleet/src/teaselledge_fleet/process/prefill.py
@@ -168,6 +168,7 @@
         prefill_seconds: float,
         seconds: float,
         slowdown: float | None = None,
+        wait: float = 0.0,
     ) -> None:
         """Update the estimates with the first event of a response.
 
@@ -176,15 +177,18 @@
         service : str
             Service of the engine.
         prefill_seconds : float
-            Predicted prefill time of the request and of those queued before it.
+            Predicted prefill time of the request.
         seconds : float
             Time from sending the request to the first event.
         slowdown : float, optional
             Slowdown with which that time was predicted; the current one if None.
+        wait : float
+            Predicted queueing time of the request. Those before it count until their
+            first event is seen, so it contains the overhead of theirs.
         """
         estimate = self._estimates[name_hash(service)]
-        forecast = prefill_seconds / PREFILL_TIME_FRACTION
-        net_seconds = seconds - estimate.overhead_seconds
+        forecast = wait + prefill_seconds / PREFILL_TIME_FRACTION
+        net_seconds = seconds - max(0.0, estimate.overhead_seconds - wait)
         if forecast >= MIN_PREFILL_SAMPLE_SECONDS:
             predicted_with = slowdown or self.slowdown(service)
             observed = predicted_with * _limited_ratio(net_seconds / forecast)
--- a/packages/fleet/tests/test_placing.py
+++ b/packages/fleet/tests/test_placing.py
@@ -622,3 +622,17 @@
         harness.placer.on_response_started(context, engine)
     samples = prefill.local()[name_hash("books")]
     assert samples.mean_log < 1.5
+
+
+async def test_the_queue_before_a_request_is_not_attributed_to_its_prefill():
+    """A prompt that waited behind others would make its engine look slow."""
+    harness = PlacerHarness()
+    context = harness.context(suffix_tokens=12_000)
+    first_choice = rendezvous_order("p1", ENGINES)[0]
+    harness.report_load(first_choice.id, 0.2)
+    assert await place(harness, context) == first_choice.id
+    queued = 0.2 / PREFILL_TIME_FRACTION
+    await asyncio.sleep(queued + context.prefill_seconds / PREFILL_TIME_FRACTION)
+    harness.placer.on_response_started(context, first_choice)
+    samples = harness.placer.prefill.local()[name_hash("books")]
+    assert abs(samples.mean_log) < 0.1
--- a/packages/fleet/tests/test_prefill.py
+++ b/packages/fleet/tests/test_prefill.py
@@ -157,3 +157,20 @@
             model.observe("books", seconds, actual + 0.05, predicted_with)
     assert abs(model.slowdown("books") / 4.0 - 1) <= TOLERANCE_FRACTION
     assert highest <= 4.0 * (1 + TOLERANCE_FRACTION)
+
+
+async def test_responses_from_a_queue_do_not_make_engines_look_faster():
+    """The overhead of those before a request passes while it waits.
+
+    Taken off again, it made busy engines look up to twice as fast as they are, so that
+    they got longer queues than could be served in time.
+    """
+    model, overhead = PrefillModel(), 0.05
+    for _ in range(RESPONSE_COUNT):
+        await asyncio.sleep(RESPONSE_INTERVAL_SECONDS)
+        prefill = model.predict("books", 17_000, 3_700)
+        wait = 0.15 * model.slowdown("books")
+        seconds = 0.15 + prefill / model.slowdown("books") / PREFILL_TIME_FRACTION
+        model.observe("books", prefill, seconds, wait=wait)
+        model.observe("books", 0.0, overhead)
+    assert abs(model.slowdown("books") - 1) <= TOLERANCE_FRACTION
