Shorten the wait of organisations ahead of one that waits (FAIR)

What callers saw: xalo141, at 0.09 of its share, was refused over capacity while organisations at 0.9 to 1.6 of theirs, which asked five times as much, were served.

Cause: inside its share every organisation had the same limit on waiting, 0.65 of the objective. Those with the most requests fill the queues up to it; each crosses its level every half second and is inside in between, so whoever asks for little finds the queues full.

Change: the limit falls with the part of the share that is used, by 0.7 at most, while another organisation that waits has used less of its own. One that is alone, or ahead of nobody who waits, keeps the whole limit. The line 'request not placed' gives contended_use.

Ruled out: a limit on the number of requests an organisation has queued, which would hold back one whose requests are small.

test_placing and test_shares: the new tests fail without the fall, and without the condition that someone waits. SameLimitEverywhere of test_heavy_load takes the new argument on.

--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -366,6 +366,7 @@
             share_status,
             candidate.has_prefix,
             self._now() - context.arrived_at,
+            self._shares.contended_use(context.organisation_name),
         )
         return limit - self._distance.congestion_seconds(candidate.endpoint.zone)
 
@@ -572,6 +573,7 @@
             "requested": usage.requested,
             "allocated": usage.allocated,
             "share_level": round(level) if math.isfinite(level) else None,
+            "contended_use": round(self._shares.contended_use(organisation), 2),
         }
 
     def _log_fields(self, best: Candidate) -> dict[str, float]:
--- a/packages/fleet/src/teaselledge_fleet/process/shares.py
+++ b/packages/fleet/src/teaselledge_fleet/process/shares.py
@@ -16,6 +16,10 @@
 SAMPLE_INTERVAL_SECONDS = 0.5
 """Interval of counter samples, so that a window need not retain each request."""
 
+MIN_DEFICIT_FRACTION = 0.05
+"""Requested tokens that were not allocated, as a fraction of a share, from which an
+organisation counts as waiting. Fewer may just have arrived."""
+
 COMPUTED_SMOOTHING_FACTOR = 0.02
 """Weight of a prompt in the fraction of tokens that engines compute: prompts differ
 fiftyfold in size, and the mix of a router changes within seconds."""
@@ -149,6 +153,8 @@
         self._allocated_level = float("inf")
         """Max-min level of all allocated tokens, guaranteed or not."""
         self._fleet_usage: dict[int, TokenUsage] = {}
+        self._least_used_share = 1.0
+        """Part of its share that the least served waiting organisation has used."""
         self._refreshed_at = -SAMPLE_INTERVAL_SECONDS
 
     @property
@@ -207,6 +213,14 @@
         """Whether an organisation exceeds its share times the tolerance factor."""
         return self.status(organisation, tolerance_factor) is not ShareStatus.INSIDE
 
+    def contended_use(self, organisation: str) -> float:
+        """Return the part of its share that an organisation has used, 0 to 1.
+
+        It is 0 unless another one that waits has used less of its own.
+        """
+        used_share = self._used_share(self.usage(organisation))
+        return used_share if used_share > self._least_used_share else 0.0
+
     def seconds_until_within_share(self, organisation: str) -> float:
         """Return the seconds until an organisation is inside its share.
 
@@ -263,6 +277,21 @@
         guaranteed = self._guaranteed_tokens / self._computed_fraction.value
         self._guaranteed_level = max_min_share(requested, min(allocated, guaranteed))
         self._allocated_level = max_min_share(requested, allocated)
+        min_deficit = self._guaranteed_level * MIN_DEFICIT_FRACTION
+        self._least_used_share = min(
+            (
+                self._used_share(usage)
+                for usage in fleet_usage.values()
+                if usage.requested - usage.allocated > min_deficit
+            ),
+            default=1.0,
+        )
+
+    def _used_share(self, usage: TokenUsage) -> float:
+        """Return the part of its share that an organisation has used, 0 to 1."""
+        if not usage.allocated:
+            return 0.0
+        return min(1.0, usage.allocated / self._guaranteed_level)
 
     def _counter(self, organisation: str) -> _TokenCounter:
         organisation_hash = self._hash_of(organisation)
--- a/packages/fleet/src/teaselledge_fleet/process/waiting.py
+++ b/packages/fleet/src/teaselledge_fleet/process/waiting.py
@@ -36,6 +36,13 @@
 requests.
 """
 
+MAX_USE_REDUCTION = 0.7
+"""Reduction of the limit for an organisation that has used its whole share while
+another one that has used less waits.
+
+It is proportional to the use. With the same limit for all inside their share, those
+with the most requests fill the queues up to it, and those far below find no room."""
+
 WAIT_FRACTION_BY_STATUS = {
     ShareStatus.INSIDE: WAIT_FRACTION,
     ShareStatus.OVER: WAIT_FRACTION_OVER_SHARE,
@@ -79,6 +86,7 @@
         share_status: ShareStatus,
         has_prefix: bool = False,
         elapsed: float = 0.0,
+        contended_use: float = 0.0,
     ) -> float:
         """Return the maximum queueing time of a request at an engine, in seconds.
 
@@ -98,6 +106,9 @@
             Seconds since its arrival. Over the share they only count towards the limit
             of requests inside it: queries to another region take as long as the short
             limit, and the organisation would be refused while engines are idle.
+        contended_use : float
+            Part of its share that its organisation has used while another one that has
+            used less waits; it counts inside the share.
         """
         objective = route.latency_objective
         if not has_prefix:
@@ -105,6 +116,8 @@
                 objective, self._min_objective_by_service.get(service, objective)
             )
         limit = objective * WAIT_FRACTION_BY_STATUS[share_status]
+        if share_status is ShareStatus.INSIDE:
+            limit *= 1.0 - MAX_USE_REDUCTION * contended_use
         if share_status is ShareStatus.OVER:
             return min(limit, objective * WAIT_FRACTION - elapsed)
         return limit - elapsed
--- a/packages/fleet/tests/test_heavy_load.py
+++ b/packages/fleet/tests/test_heavy_load.py
@@ -35,9 +35,16 @@
         share_status: ShareStatus,
         has_prefix: bool = False,
         elapsed: float = 0.0,
+        contended_use: float = 0.0,
     ) -> float:
         """Return the limit of engines without the prefix."""
-        return super().max_wait(route, service, share_status, elapsed=elapsed)
+        return super().max_wait(
+            route,
+            service,
+            share_status,
+            elapsed=elapsed,
+            contended_use=contended_use,
+        )
 
 
 @dataclass(frozen=True)
--- a/packages/fleet/tests/test_placing.py
+++ b/packages/fleet/tests/test_placing.py
@@ -197,6 +197,39 @@
     assert isinstance(await place(harness, harness.context(organisation="other")), str)
 
 
+def report_usage(harness: PlacerHarness, usage: dict[str, TokenUsage]) -> None:
+    harness.placer.shares.update_source(
+        "r2", {name_hash(name): each for name, each in usage.items()}
+    )
+
+
+async def test_an_organisation_far_below_its_share_finds_room_beside_full_ones():
+    """With one limit for all inside their share, the largest ones fill the queues."""
+    harness = PlacerHarness()
+    peers = {f"peer{n}": TokenUsage(9_000_000, 1_300_000) for n in range(10)}
+    small = {"small": TokenUsage(1_500_000, 200_000)}
+    report_usage(harness, peers | small)
+    harness.placer.load.update_source(
+        "r2", {name_hash(e.id): EndpointLoad(5, 0.2) for e in ENGINES}
+    )
+    peer = await place(harness, harness.context(organisation="peer1"))
+    assert not isinstance(peer, str)
+    assert peer.kind is FaultKind.OVER_CAPACITY
+    assert isinstance(await place(harness, harness.context(organisation="small")), str)
+
+
+async def test_organisations_wait_as_usual_while_none_is_far_below_its_share():
+    """A shorter limit would cost them responses, and nobody would get the room."""
+    harness = PlacerHarness()
+    peers = {f"peer{n}": TokenUsage(9_000_000, 1_300_000) for n in range(10)}
+    served = {"small": TokenUsage(210_000, 200_000)}
+    report_usage(harness, peers | served)
+    harness.placer.load.update_source(
+        "r2", {name_hash(e.id): EndpointLoad(5, 0.2) for e in ENGINES}
+    )
+    assert isinstance(await place(harness, harness.context(organisation="peer1")), str)
+
+
 async def test_fields_of_a_refusal_replace_none_of_its_log_line():
     """The line of a request that is not placed lost its level to a share."""
     harness = PlacerHarness()
--- a/packages/fleet/tests/test_shares.py
+++ b/packages/fleet/tests/test_shares.py
@@ -137,3 +137,26 @@
     shares.set_guaranteed_rate(0.0)
     await asyncio.sleep(0.6)
     assert not shares.is_over_share("b", 1.1)
+
+
+async def test_use_is_contended_while_one_that_has_used_less_waits():
+    """An organisation with few requests has nothing to gain from what others leave."""
+    shares = OrganisationShares()
+    requested = {"a": 5000, "b": 5000, "c": 5000, "d": 100}
+    allocated = {"a": 500, "b": 900, "c": 200, "d": 100}
+    await record_usage(shares, 6, requested, allocated)
+    assert 0.8 < shares.contended_use("a") < shares.contended_use("b") == 1.0
+    assert shares.contended_use("c") == shares.contended_use("d") == 0.0
+
+
+async def test_the_use_of_an_organisation_alone_is_not_contended():
+    """Its limit on waiting would fall though nobody else wants the engines."""
+    shares = OrganisationShares()
+    await record_usage(shares, 6, {"a": 5000, "b": 100}, {"a": 900, "b": 100})
+    assert shares.contended_use("a") == 0.0
+
+
+async def test_nothing_is_contended_before_anything_was_allocated():
+    shares = OrganisationShares()
+    await record_usage(shares, 1, {"a": 5000, "b": 100}, {})
+    assert shares.contended_use("a") == shares.contended_use("b") == 0.0
