--- a/tools/capacity_page.py
+++ b/tools/capacity_page.py
@@ -138,6 +138,14 @@
 | sudtrag-hq-grown, scale-1 | 0.47 at the mean of its heavy days | 0.567 with FAIR \
 broken on c72f7ae; 0.403 with no rule broken on 93256fe; 0.349 on 7a689d0; 0.491 until \
 it was given up at 27.4 s, no rule broken (trial of shares in whole prompts) |
+| sudtrag-hq-grown scale-1, no time charged, up to 20 s | no rule broken | FAIR 1 in \
+each play of 8dcfd26 (0.297), none with the link's congestion counted, one estimate of \
+engines and a limit that falls with contended use (0.484, 530d76c0) |
+| organisations with engines of their own region that suffice, 150 KB/s between \
+regions, model of eight routers | at least half of what they get without the narrow \
+link | 0.19 to 0.52 before, 0.65 and more after (three seeds) |
+| estimates of the same engines at two routers, model with a flood | within a factor \
+of 2 | 2.4 before, 1.1 after |
 | an organisation that waits, beside the best served one, model of nine engines | at \
 least half in each 6 s | 9 windows under it in 8 runs before, 0 in 16 runs |
 | check of the endpoints for a request, 2,900 endpoints, 50 with signals | 5 us | \
