--- a/packages/fleet/src/teaselledge_fleet/connection/accepting.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/accepting.py
@@ -62,11 +62,14 @@
         others were refused without being read.
     overloaded : bool
         Whether this router is overloaded. The request is then read, and refused.
+    entitled : bool
+        Whether the request is served although this router has no capacity.
     """
 
     min_version: int | None = None
     sample_weight: int = 1
     overloaded: bool = False
+    entitled: bool = False
 
 
 DIRECT_ORIGIN = ConnectionOrigin()
@@ -106,6 +109,8 @@
         Returns the version of the configuration in force.
     has_capacity : callable
         Returns whether this router has capacity for one more connection.
+    is_entitled : callable
+        Returns whether the organisation of a key is owed a connection nevertheless.
     """
 
     def __init__(
@@ -118,12 +123,15 @@
         self.on_relay_refused: Callable[[], None] = lambda: None
         self.version: Callable[[], int] = lambda: 0
         self.has_capacity: Callable[[], bool] = lambda: True
+        self.is_entitled: Callable[[str], bool] = lambda key: False
         self.accepted = 0
         self.relayed = 0
         self.sampled = 0
         self._relays = RelayPool(idle_seconds)
         self._relays.on_relay_refused = lambda: self.on_relay_refused()
         self._shedder = LoadShedder(_encode_refusals())
+        self._shedder.is_entitled = lambda key: self.is_entitled(key)
+        self._shedder.serve = self._serve_entitled
         self._origins: WeakKeyDictionary[IOStream, ConnectionOrigin] = (
             WeakKeyDictionary()
         )
@@ -196,7 +204,7 @@
         A sample is read to attribute the refused demand to organisations.
         """
         if self.refused % REFUSALS_PER_SAMPLE:
-            self._shedder.refuse(connection)
+            self._shedder.refuse(connection, address)
             return
         stream = IOStream(connection)
         self._origins[stream] = ConnectionOrigin(
@@ -205,6 +213,11 @@
         self.sampled += 1
         self._serve(stream, address)
 
+    def _serve_entitled(self, connection: socket.socket, address: Any) -> None:
+        stream = IOStream(connection)
+        self._origins[stream] = ConnectionOrigin(entitled=True)
+        self._serve(stream, address)
+
     async def _relay(
         self, connection: socket.socket, address: Any, target: str
     ) -> None:
--- a/packages/fleet/src/teaselledge_fleet/connection/refusing.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/refusing.py
@@ -1,12 +1,18 @@
-"""Refusal of connections without parsing their requests."""
+"""Refusal of connections without parsing their requests.
+
+Only the caller's key is read, for those whose organisation is owed a connection.
+"""
 
 import asyncio
 import random
 import socket
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from contextlib import suppress
 from dataclasses import dataclass
+from typing import Any
+
+from teaselledge_fleet.connection.requesthead import bearer_key
 
 __all__ = ["LoadShedder"]
 
@@ -15,6 +21,8 @@
 reset it, and the caller might lose the response."""
 
 READ_BYTES = 1 << 16
+HEAD_BYTES = 4096
+"""Bytes in which the caller's key is looked for."""
 
 
 @dataclass(frozen=True)
@@ -23,6 +31,14 @@
     connection: socket.socket
 
 
+@dataclass(frozen=True)
+class _WaitingConnection:
+    """A connection of which nothing has been received."""
+
+    connection: socket.socket
+    address: Any
+
+
 class LoadShedder:
     """Refuses connections without parsing their requests.
 
@@ -36,24 +52,35 @@
     ----------
     refused : int
         Number of connections refused so far.
+    is_entitled : callable
+        Returns whether the organisation of a key is owed a connection nevertheless.
+    serve : callable
+        Called with each connection that is not refused for that, and its address.
     """
 
     def __init__(self, responses: Sequence[bytes]) -> None:
         self._responses = responses
         self._waiting: set[socket.socket] = set()
+        self._handed_over: set[socket.socket] = set()
+        """Connections that are served and must not be closed here."""
         self._refused: deque[_RefusedConnection] = deque()
         self._close_timer: asyncio.TimerHandle | None = None
         self.refused = 0
+        self.is_entitled: Callable[[str], bool] = lambda key: False
+        self.serve: Callable[[socket.socket, Any], None] = lambda connection, address: (
+            None
+        )
 
-    def refuse(self, connection: socket.socket) -> None:
+    def refuse(self, connection: socket.socket, address: Any = None) -> None:
         """Respond as soon as a request arrives, and close the connection later."""
         self.refused += 1
         connection.setblocking(False)
         self._schedule_close(connection)
-        if not self._try_respond(connection):
+        waiting = _WaitingConnection(connection, address)
+        if not self._try_respond(waiting):
             self._waiting.add(connection)
             loop = asyncio.get_running_loop()
-            loop.add_reader(connection, self._on_readable, connection)
+            loop.add_reader(connection, self._on_readable, waiting)
 
     def close(self) -> None:
         """Close all connections."""
@@ -62,13 +89,19 @@
         while self._refused:
             self._close(self._refused.popleft().connection)
 
-    def _on_readable(self, connection: socket.socket) -> None:
-        if self._try_respond(connection):
-            self._remove_reader(connection)
+    def _on_readable(self, waiting: _WaitingConnection) -> None:
+        # no longer read here: it may be served from now on
+        self._remove_reader(waiting.connection)
+        self._try_respond(waiting)
 
-    def _try_respond(self, connection: socket.socket) -> bool:
-        """Send a response if a request has arrived; return False if none has."""
+    def _try_respond(self, waiting: _WaitingConnection) -> bool:
+        """Answer or hand over a request that has arrived; return False if none has."""
+        connection = waiting.connection
         try:
+            key = bearer_key(connection.recv(HEAD_BYTES, socket.MSG_PEEK))
+            if key is not None and self.is_entitled(key):
+                self._hand_over(waiting)
+                return True
             connection.recv(READ_BYTES)
             connection.send(random.choice(self._responses))
             connection.shutdown(socket.SHUT_WR)
@@ -79,6 +112,11 @@
             return True
         return True
 
+    def _hand_over(self, waiting: _WaitingConnection) -> None:
+        self.refused -= 1
+        self._handed_over.add(waiting.connection)
+        self.serve(waiting.connection, waiting.address)
+
     def _schedule_close(self, connection: socket.socket) -> None:
         loop = asyncio.get_running_loop()
         self._refused.append(_RefusedConnection(loop.time(), connection))
@@ -102,6 +140,9 @@
         asyncio.get_running_loop().remove_reader(connection)
 
     def _close(self, connection: socket.socket) -> None:
+        if connection in self._handed_over:
+            self._handed_over.discard(connection)
+            return
         if connection in self._waiting:
             self._remove_reader(connection)
         with suppress(OSError):
--- a/packages/fleet/src/teaselledge_fleet/process/connectionlimit.py
+++ b/packages/fleet/src/teaselledge_fleet/process/connectionlimit.py
@@ -30,6 +30,11 @@
 
 In other ticks it grows in proportion to the idle time."""
 
+RESERVED_FACTOR = 1.2
+"""Factor of the limit up to which entitled connections are accepted.
+
+They count like any other, so that the others get fewer until the limit holds again."""
+
 MAX_LIMIT = 4000
 """Limit beyond which there is none; file descriptors run out there too."""
 
@@ -56,6 +61,10 @@
         """Whether one more connection may be accepted beside those that run."""
         return running < self._limit
 
+    def allows_entitled(self, running: int) -> bool:
+        """Whether one more connection may be accepted that is owed to its caller."""
+        return running < self._limit * RESERVED_FACTOR
+
     def update(
         self, longest_iteration: float, loop_utilisation: float, running: int
     ) -> None:
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -18,6 +18,7 @@
 from teaselledge_fleet.process.budget import RetryBudget, RetryLimits
 from teaselledge_fleet.process.busyness import EventLoopMonitor
 from teaselledge_fleet.process.connectionlimit import ConnectionLimit
+from teaselledge_fleet.process.connectionshares import ConnectionShares
 from teaselledge_fleet.process.coordinators import Coordinators
 from teaselledge_fleet.process.gossip import Gossip
 from teaselledge_fleet.process.leaving import GracefulShutdown
@@ -164,9 +165,7 @@
         acceptor.on_relayed = self._record_offload
         acceptor.on_relay_refused = self._offload_limiter.record_refusal
         self._connection_limit = ConnectionLimit()
-        acceptor.has_capacity = lambda: self._connection_limit.allows(
-            self._front.running
-        )
+        self._limit_connections()
         has_seeds = bool(settings.seeds) and own.peer_address not in settings.seeds
         self._store_poller = StorePoller(place.vm, store, self._store_cache, has_seeds)
         self._registration = Registration(store, self._members, self._store_cache)
@@ -349,6 +348,26 @@
                     version=routing.version,
                 )
 
+    def _limit_connections(self) -> None:
+        """Limit connections, but for organisations with less than their share."""
+        acceptor, shares = self._front.acceptor, ConnectionShares()
+        self._server.on_admitted = shares.record_served
+        acceptor.has_capacity = lambda: self._connection_limit.allows(
+            self._front.running
+        )
+
+        def is_entitled(key: str) -> bool:
+            routing = self._server.routing
+            organisation = routing.find_organisation(key) if routing else None
+            return (
+                organisation is not None
+                and not self._event_loop.recently_blocked
+                and self._connection_limit.allows_entitled(self._front.running)
+                and shares.is_entitled(organisation.name)
+            )
+
+        acceptor.is_entitled = is_entitled
+
     def _update_router_count(self) -> None:
         self._budget.update_router_count(len(self._members.peers) + 1)
         self._limit_endpoint_connections()
--- a/packages/fleet/src/teaselledge_fleet/request/serving.py
+++ b/packages/fleet/src/teaselledge_fleet/request/serving.py
@@ -104,6 +104,8 @@
         Returns whether the router is overloaded. It then refuses requests at once:
         an accepted request would reach an engine after its caller has left, and the
         work on it would delay the next request.
+    on_admitted : callable
+        Called with the name of the organisation of each request that is served.
     """
 
     def __init__(
@@ -122,6 +124,7 @@
         self.routing: RoutingConfiguration | None = None
         self.leaving = False
         self.is_overloaded: Callable[[], bool] = lambda: False
+        self.on_admitted: Callable[[str], None] = lambda organisation: None
 
     async def handle(self, received: ReceivedRequest, writer: ResponseWriter) -> None:
         """Run a request and write its response."""
@@ -150,11 +153,14 @@
             self._placer.record_demand(request, resolved.ok[1], origin.sample_weight)
         if self.leaving:
             return Error(Fault(FaultKind.LEAVING, LEAVING_RETRY_SECONDS))
-        if self.is_overloaded() or origin.overloaded:
+        overloaded = self.is_overloaded() and not origin.entitled
+        if overloaded or origin.overloaded:
             return Error(Fault(FaultKind.ROUTER_BUSY, BUSY_RETRY_SECONDS))
         if resolved.is_error():
             return Error(resolved.error)
         route, organisation = resolved.ok
+        if organisation is not None:
+            self.on_admitted(organisation.name)
         time_limit = route.timeout
         if request.timeout_seconds is not None:
             time_limit = min(time_limit, request.timeout_seconds)
--- a/packages/fleet/tests/test_connectionlimit.py
+++ b/packages/fleet/tests/test_connectionlimit.py
@@ -156,3 +156,13 @@
     for _ in range(5):
         limit.update(SHORT_SECONDS, 1.0, 10)
     assert limit.allows(40)
+
+
+def test_entitled_connections_exceed_the_limit_by_a_fifth_at_most():
+    """They would otherwise saturate the router that the limit protects."""
+    limit = ConnectionLimit()
+    for _ in range(10):
+        limit.update(0.0, 1.0, 100)
+    assert not limit.allows(100)
+    assert limit.allows_entitled(119)
+    assert not limit.allows_entitled(120)
