Answer a refused connection that was not readable after all

The reader of a connection that waits to be refused is removed before its key is looked at, as the connection may be served from then on. If a read would block nevertheless, nobody answered, and it was closed after a second.

--- a/packages/fleet/src/teaselledge_fleet/connection/refusing.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/refusing.py
@@ -78,9 +78,7 @@
         self._schedule_close(connection)
         waiting = _WaitingConnection(connection, address)
         if not self._try_respond(waiting):
-            self._waiting.add(connection)
-            loop = asyncio.get_running_loop()
-            loop.add_reader(connection, self._on_readable, waiting)
+            self._add_reader(waiting)
 
     def close(self) -> None:
         """Close all connections."""
@@ -90,9 +88,10 @@
             self._close(self._refused.popleft().connection)
 
     def _on_readable(self, waiting: _WaitingConnection) -> None:
-        # no longer read here: it may be served from now on
+        # removed first, as the connection may be served from now on
         self._remove_reader(waiting.connection)
-        self._try_respond(waiting)
+        if not self._try_respond(waiting):
+            self._add_reader(waiting)
 
     def _try_respond(self, waiting: _WaitingConnection) -> bool:
         """Answer or hand over a request that has arrived; return False if none has."""
@@ -135,6 +134,12 @@
             remaining = self._refused[0].refused_at - refused_before
             self._close_timer = loop.call_later(remaining, self._close_expired)
 
+    def _add_reader(self, waiting: _WaitingConnection) -> None:
+        self._waiting.add(waiting.connection)
+        asyncio.get_running_loop().add_reader(
+            waiting.connection, self._on_readable, waiting
+        )
+
     def _remove_reader(self, connection: socket.socket) -> None:
         self._waiting.discard(connection)
         asyncio.get_running_loop().remove_reader(connection)
--- a/packages/fleet/tests/test_refusing.py
+++ b/packages/fleet/tests/test_refusing.py
@@ -4,6 +4,7 @@
 import json
 
 from teaselledge_fleet.connection.accepting import REFUSALS_PER_SAMPLE
+from teaselledge_fleet.connection.refusing import _WaitingConnection
 from teaselledge_fleet.version.routes import RetryPolicy
 from teaselledge_standins.routes import HOST, make_route, running_route, send_request
 from teaselledge_standins.scripted import (
@@ -68,3 +69,18 @@
         reader, writer = await asyncio.open_connection("127.0.0.1", served.port)
         assert await asyncio.wait_for(reader.read(), 3.0) == b""
         writer.close()
+
+
+async def test_a_connection_that_is_not_readable_after_all_gets_the_response():
+    """Readiness may be reported though a read would block."""
+    async with running_route(make_route(RetryPolicy.NEVER)) as served:
+        served.front.acceptor.has_capacity = lambda: False
+        served.front.acceptor.sampled = 1
+        reader, writer = await asyncio.open_connection("127.0.0.1", served.port)
+        await asyncio.sleep(0.1)
+        shedder = served.front.acceptor._shedder
+        (waiting,) = shedder._waiting
+        shedder._on_readable(_WaitingConnection(waiting, None))
+        writer.write(f"GET /r/1 HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode())
+        assert (await reader.readline()).split()[1] == b"503"
+        writer.close()
