--- a/packages/fleet/tests/test_shared_estimates.py
+++ b/packages/fleet/tests/test_shared_estimates.py
@@ -2,30 +2,19 @@
 
 from teaselledge_fleet.connection.figures import pack_slowdowns, unpack_slowdowns
 from teaselledge_fleet.process.prefill import SlowdownSamples
-from teaselledge_standins.modelengines import (
-    EngineSpeed,
-    OrganisationLoad,
-    PromptKind,
-    run_load,
+from teaselledge_standins.modelengines import OrganisationLoad
+from teaselledge_standins.tworegions import (
+    LOAD_SECONDS,
+    PEAK_BEGIN,
+    play_two_regions,
 )
 
 VIRTUAL_CLOCK = True
 SEEDS = (1, 2)
-LOAD_SECONDS = 13.0
 SETTLED_SECOND = 3
-CAPACITY_TOKENS_PER_SECOND = 320_000
-ROUTERS = 8
-ZONES = {"north": "west", "south": "west", "far": "east", "further": "east"}
-ENGINES = {f"e{n}": zone for n, zone in enumerate([*ZONES] * 3)}
-KINDS = (
-    PromptKind("long", 28, 144, 13_300, 3_720, 120, 1.1, 1.4, 0.8, 8.0, 3.4, 1.0),
-    PromptKind("medium", 26, 197, 6_300, 2_890, 52, 1.0, 1.4, 0.8, 5.0, 2.4, 0.72),
-    PromptKind("short", 41, 273, 350, 1_110, 172, 1.0, 0.89, 0.6, 10.0, 0.38, 0.11),
-)
 ORGANISATIONS = (
-    *(OrganisationLoad(f"o{n}", 1.5, routers=(1 + n % 6,)) for n in range(24)),
     OrganisationLoad("quiet", 10, routers=(7,)),
-    OrganisationLoad("flood", 150, begin=5, routers=(0,)),
+    OrganisationLoad("flood", 150, begin=PEAK_BEGIN, routers=(0,)),
 )
 MAX_RATIO = 2.0
 """An organisation is due at least half of what another one gets, so no router may take
@@ -35,18 +24,8 @@
 async def test_routers_agree_on_the_speed_of_engines_beside_a_flood():
     """A busy router's estimate swung within a second, and a quiet one's stayed."""
     for seed in SEEDS:
-        result = await run_load(
-            ENGINES,
-            ZONES,
-            KINDS,
-            LOAD_SECONDS,
-            seed,
-            speed=EngineSpeed(slots=24),
-            tokens_per_second=CAPACITY_TOKENS_PER_SECOND,
-            organisations=ORGANISATIONS,
-            router_count=ROUTERS,
-        )
-        for slowdowns in result.slowdowns[SETTLED_SECOND : int(LOAD_SECONDS)]:
+        result = await play_two_regions(ORGANISATIONS, seed)
+        for slowdowns in result.slowdowns[SETTLED_SECOND:LOAD_SECONDS]:
             assert max(slowdowns) <= MAX_RATIO * min(slowdowns), slowdowns
 
 
--- a/packages/standins/src/teaselledge_standins/modelfleet.py
+++ b/packages/standins/src/teaselledge_standins/modelfleet.py
@@ -103,7 +103,10 @@
     async def query(
         self, router: int, endpoint: Endpoint, request: EndpointLoad, max_wait: float
     ) -> AdmissionDecision | None:
-        """Ask the coordinator of an endpoint; the router's load has the request."""
+        """Ask the coordinator of an endpoint whether a request may be sent.
+
+        The router's own load already contains the request.
+        """
         load = self._placers[router].load.local(endpoint.id).subtract(request)
         self._sequence += 1
         query = AdmissionQuery(
