--- a/packages/fleet/tests/test_prefill.py
+++ b/packages/fleet/tests/test_prefill.py
@@ -74,7 +74,7 @@
 
 
 async def test_a_different_speed_is_estimated_within_200_responses():
-    """A new customer's engines are up to four times slower or faster than others.
+    """A new customer's engines are up to four times slower or three times faster.
 
     If the estimate is too fast, they get more prompts than they can process in time and
     all first events are late; if it is too slow, callers are refused without need.
