Scale the counts of served requests before adding to them

Every 28 s the counts behind entitled connections are scaled down a millionfold. The count that was being added to had been read before, so its organisation kept the old one: for the next 28 s it was owed no connection, and all others were. After 24 minutes without a request the weight overflowed, and each request after that failed.

The weight is computed first, and the factor falls to 0 in place of growing without bound. Both new tests of test_connectionshares failed before.

--- a/packages/fleet/src/teaselledge_fleet/process/connectionshares.py
+++ b/packages/fleet/src/teaselledge_fleet/process/connectionshares.py
@@ -16,8 +16,11 @@
 DECAY_SECONDS = 2.0
 """Time in which the weight of a served request decays to 1/e."""
 
-MAX_WEIGHT = 1e6
-"""Weight of a request from which all weights are scaled down."""
+MAX_DECAY_TIMES = 14.0
+"""Number of decay times after which all weights are scaled down, by a millionfold."""
+
+MIN_SERVED = 1e-6
+"""Weight below which the requests of an organisation no longer count."""
 
 
 class ConnectionShares:
@@ -31,7 +34,9 @@
 
     def record_served(self, organisation: str) -> None:
         """Count a request that is served."""
-        self._served[organisation] += self._weight()
+        # scales all counts down if it is time, so it comes before they are read
+        weight = self._next_weight()
+        self._served[organisation] += weight
         self._most_served = max(self._most_served, self._served[organisation])
 
     def is_entitled(self, organisation: str) -> bool:
@@ -39,15 +44,16 @@
         served = self._served.get(organisation, 0.0)
         return served < MIN_SHARE * self._most_served
 
-    def _weight(self) -> float:
+    def _next_weight(self) -> float:
         now = asyncio.get_running_loop().time()
-        weight = math.exp((now - self._began_at) / DECAY_SECONDS)
-        if weight < MAX_WEIGHT:
-            return weight
+        decay_times = (now - self._began_at) / DECAY_SECONDS
+        if decay_times < MAX_DECAY_TIMES:
+            return math.exp(decay_times)
         self._began_at = now
-        self._most_served /= weight
+        factor = math.exp(-decay_times)
+        self._most_served *= factor
         for organisation in list(self._served):
-            self._served[organisation] /= weight
-            if self._served[organisation] < 1 / MAX_WEIGHT:
+            self._served[organisation] *= factor
+            if self._served[organisation] < MIN_SERVED:
                 del self._served[organisation]
         return 1.0
--- a/packages/fleet/tests/test_connectionshares.py
+++ b/packages/fleet/tests/test_connectionshares.py
@@ -183,3 +183,26 @@
     )
     assert bearer_key(b"POST / HTTP/1.1\r\nAuthorization: Bearer k1") is None
     assert bearer_key(b"") is None
+
+
+async def test_an_organisation_served_all_along_is_not_counted_many_times():
+    """The others would all count as owed connections, and it would never be."""
+    shares = ConnectionShares()
+    for _ in range(10):
+        shares.record_served("small")
+        shares.record_served("flood")
+    shares._began_at -= 60.0
+    shares.record_served("small")
+    for _ in range(4):
+        shares.record_served("flood")
+    assert shares.is_entitled("small")
+    assert not shares.is_entitled("flood")
+
+
+async def test_a_router_serves_after_hours_without_requests():
+    shares = ConnectionShares()
+    shares.record_served("small")
+    shares._began_at -= 86_400.0
+    shares.record_served("small")
+    assert not shares.is_entitled("small")
+    assert shares.is_entitled("flood")
