Show at which stage organisations lose requests, and why connections stay

What on-call could not tell: whether a flooded router refuses for its own limit, because others refuse what it passes on, or because it may pass nothing on; and whether an organisation's requests are lost before or after an engine is looked for.

Metrics connection_refusals by cause, relay_responses by the reason of a refusal, relaying_allowed, offload_candidates, least_served_ratio, organisation_tokens with shed, declined and started; a line when a region has no ready router, or has one again. Nothing is decided by them. test_metrics: the gauges still fit into 4,096 bytes.

--- a/packages/fleet/src/teaselledge_fleet/connection/accepting.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/accepting.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import socket
-from collections.abc import Callable, Coroutine
+from collections import Counter
+from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import dataclass
 from typing import Any
 from weakref import WeakKeyDictionary
@@ -15,6 +16,7 @@
 from teaselledge_fleet.connection.relay import (
     PREFACE_BYTES,
     RelayPool,
+    RelayResult,
     preface,
     read_preface,
 )
@@ -43,6 +45,9 @@
 them may retry at this router, so their retries are spread over the time in which its
 current streams end."""
 
+OWN_LIMIT, OTHERS_REFUSE = "limit", "others"
+"""Causes of refused connections, as in the metric."""
+
 BACKLOG = 1024
 """Connections that wait to be accepted. Beyond this number SYN packets are dropped, and
 sent again a second later."""
@@ -97,6 +102,8 @@
         Number of connections opened by callers, and of those relayed to other routers.
     sampled : int
         Number of refused connections whose request was read.
+    refusal_causes : Counter of str
+        Number of refused connections by cause.
     choose_relay_target : callable
         Returns the address to which a new connection is relayed, None if this router
         serves it.
@@ -127,6 +134,7 @@
         self.accepted = 0
         self.relayed = 0
         self.sampled = 0
+        self.refusal_causes: Counter[str] = Counter()
         self._relays = RelayPool(idle_seconds)
         self._relays.on_relay_refused = lambda: self.on_relay_refused()
         self._shedder = LoadShedder(_encode_refusals())
@@ -143,6 +151,11 @@
         """Number of connections refused for overload."""
         return self._shedder.refused + self.sampled
 
+    @property
+    def relay_results(self) -> Mapping[RelayResult, int]:
+        """Number of responses to relayed connections, by result."""
+        return self._relays.results
+
     @property
     def active_relays(self) -> int:
         """Number of connections being relayed."""
@@ -186,6 +199,7 @@
     def _accept(self, connection: socket.socket, address: Any) -> None:
         self.accepted += 1
         if not self.has_capacity():
+            self.refusal_causes[OWN_LIMIT] += 1
             self._refuse(connection, address)
             return
         target = None if self._relays.full else self.choose_relay_target()
@@ -193,6 +207,7 @@
             self._serve(IOStream(connection), address)
             return
         if not self.peers_have_capacity():
+            self.refusal_causes[OTHERS_REFUSE] += 1
             self._refuse(connection, address)
             return
         self.on_relayed(target)
--- a/packages/fleet/src/teaselledge_fleet/connection/relay.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/relay.py
@@ -1,11 +1,16 @@
 """Relay of callers' connections to another router, byte by byte."""
 
 import asyncio
+import json
 import socket
+from collections import Counter
 from collections.abc import Callable
+from enum import Enum
 from typing import cast
 
-__all__ = ["PREFACE_BYTES", "RelayPool", "preface", "read_preface"]
+from teaselledge_fleet.faults import ROUTER_FAULTS
+
+__all__ = ["PREFACE_BYTES", "RelayPool", "RelayResult", "preface", "read_preface"]
 
 CONNECT_SECONDS = 0.1
 """Timeout for connecting to a router of the same zone, which takes some milliseconds.
@@ -18,10 +23,39 @@
 NOT_RUN_STATUS_LINES = (b"HTTP/1.1 429", b"HTTP/1.1 503")
 """Beginnings of responses that promise that a request has not run."""
 
+ROUTER_FAULT_KINDS = tuple(json.dumps(kind.value).encode() for kind in ROUTER_FAULTS)
+"""Kinds of fault as they stand in the body of a refusal."""
+
 PREFACE = b"relayed %d\n"
 PREFACE_BYTES = 32
 
 
+class RelayResult(Enum):
+    """Beginning of the response to a relayed request.
+
+    The values are labels of a metric.
+    """
+
+    SERVED = "no"
+    REFUSED_BY_ROUTER = "router"
+    """The other router has no capacity."""
+
+    REFUSED_OTHERWISE = "other"
+    """Shares or endpoints are the reason, and any router would refuse."""
+
+    @classmethod
+    def of_response(cls, data: bytes) -> "RelayResult":
+        """Return the result by the first bytes of a response.
+
+        A refusal is short and written at once, its body included.
+        """
+        if not data.startswith(NOT_RUN_STATUS_LINES):
+            return cls.SERVED
+        if any(kind in data for kind in ROUTER_FAULT_KINDS):
+            return cls.REFUSED_BY_ROUTER
+        return cls.REFUSED_OTHERWISE
+
+
 def preface(version: int) -> bytes:
     """Return the line sent to the other router before the caller's bytes.
 
@@ -52,6 +86,8 @@
 
     Attributes
     ----------
+    results : Counter of RelayResult
+        Number of responses so far, by result.
     on_relay_refused : callable
         Called when the other router refuses the request.
     """
@@ -59,6 +95,7 @@
     def __init__(self, idle_seconds: float) -> None:
         self._idle_seconds = idle_seconds
         self._relays: set[_Relay] = set()
+        self.results: Counter[RelayResult] = Counter()
         self.on_relay_refused: Callable[[], None] = lambda: None
 
     @property
@@ -93,7 +130,7 @@
         """
         loop = asyncio.get_running_loop()
         host, _, port = address.rpartition(":")
-        relay = _Relay(self._relays, self.on_relay_refused)
+        relay = _Relay(self._relays, self._record_result)
         try:
             async with asyncio.timeout(CONNECT_SECONDS):
                 await loop.create_connection(lambda: relay.router, host, int(port))
@@ -110,6 +147,11 @@
         relay.start(self._idle_seconds)
         return True
 
+    def _record_result(self, result: RelayResult) -> None:
+        self.results[result] += 1
+        if result is not RelayResult.SERVED:
+            self.on_relay_refused()
+
     def close(self) -> None:
         """Abort all connections."""
         for relay in list(self._relays):
@@ -119,9 +161,11 @@
 class _Relay:
     """A caller's connection, and the connection to the router that serves it."""
 
-    def __init__(self, relays: "set[_Relay]", on_refused: Callable[[], None]) -> None:
+    def __init__(
+        self, relays: "set[_Relay]", on_response: Callable[[RelayResult], None]
+    ) -> None:
         self._relays = relays
-        self._on_refused = on_refused
+        self._on_response = on_response
         self._responded = False
         self._idle_timer: asyncio.TimerHandle | None = None
         self.closed = False
@@ -153,8 +197,7 @@
         self.last_active_at = asyncio.get_running_loop().time()
         if side is self.router and not self._responded:
             self._responded = True
-            if data.startswith(NOT_RUN_STATUS_LINES):
-                self._on_refused()
+            self._on_response(RelayResult.of_response(data))
         self.opposite(side).write(data)
 
     def on_closed(self, side: "_Side", failed: bool) -> None:
--- a/packages/fleet/src/teaselledge_fleet/faults.py
+++ b/packages/fleet/src/teaselledge_fleet/faults.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "FAULT_RESPONSES",
+    "ROUTER_FAULTS",
     "FaultResponse",
     "Fault",
     "FaultKind",
@@ -72,6 +73,10 @@
 }
 
 
+ROUTER_FAULTS = (FaultKind.NOT_CONFIGURED, FaultKind.LEAVING, FaultKind.ROUTER_BUSY)
+"""Faults of the router that responds. Another router may serve the request."""
+
+
 @dataclass(frozen=True)
 class Fault:
     """One fault of a request.
--- a/packages/fleet/src/teaselledge_fleet/process/addresses.py
+++ b/packages/fleet/src/teaselledge_fleet/process/addresses.py
@@ -4,12 +4,15 @@
 import random
 from collections.abc import Iterable, Mapping, Sequence
 
+from teaselledge_fleet.log import get_log
 from teaselledge_fleet.process.members import Member
 from teaselledge_fleet.process.spillover import zone_utilisation
 from teaselledge_fleet.version.residency import ANYWHERE, Residency
 
 __all__ = ["RegionCoverage", "addresses_for", "spare_cores"]
 
+_log = get_log("addresses")
+
 MIN_ADDRESSES = 2
 """Minimum number of routers in a response, if that many are ready.
 
@@ -114,7 +117,14 @@
 
     def update(self, ready: Iterable[Member]) -> None:
         """Record the routers that accept requests at present."""
-        covered = self._regions <= {member.region for member in ready}
+        ready_regions = {member.region for member in ready}
+        covered = self._regions <= ready_regions
+        if covered is not (self._covered_since is not None):
+            # a warning, as an overloaded router drops lines of lower levels
+            _log.warning(
+                "all regions ready" if covered else "region without a ready router",
+                ready_regions=sorted(ready_regions),
+            )
         if not covered:
             self._covered_since = None
         elif self._covered_since is None:
--- a/packages/fleet/src/teaselledge_fleet/process/metrics.py
+++ b/packages/fleet/src/teaselledge_fleet/process/metrics.py
@@ -88,6 +88,13 @@
         "tokens",
         "Share of an organisation that requests more within 4 s, -1 if all fit.",
     ),
+    "least_served_ratio": Metric(
+        "gauge", "part", "Least part of its due that a waiting organisation got in 4 s."
+    ),
+    "relaying_allowed": Metric(
+        "gauge", "part", "1 if connections may be passed on, else 0."
+    ),
+    "offload_candidates": Metric("gauge", "routers", "Routers of the zone with room."),
     "zones_drained": Metric(
         "gauge", "zones", "Zones whose endpoints get no new requests."
     ),
@@ -99,6 +106,18 @@
         "endpoints",
         "Endpoints that asked this router for no requests for some time.",
     ),
+    "connection_refusals": Metric(
+        "counter",
+        "connections",
+        "Refused connections: over this router's limit, or as others refuse them, too.",
+        ("cause",),
+    ),
+    "relay_responses": Metric(
+        "counter",
+        "responses",
+        "Responses to connections that were passed on, by the reason of a refusal.",
+        ("refused",),
+    ),
     "requests": Metric(
         "counter", "requests", "Ended requests.", ("outcome", "fault", "service")
     ),
@@ -117,7 +136,8 @@
     "organisation_tokens": Metric(
         "counter",
         "tokens",
-        "Tokens requested at this router, and allocated by it, as shares count them.",
+        "Tokens of this router's requests, as shares count them: all, those shed before"
+        " placing, declined for want of room, allocated, and started.",
         ("organisation", "use"),
     ),
 }
--- a/packages/fleet/src/teaselledge_fleet/process/offloading.py
+++ b/packages/fleet/src/teaselledge_fleet/process/offloading.py
@@ -71,14 +71,15 @@
         )
         if offload_fraction <= 0.0 or random.random() >= offload_fraction:
             return None
-        candidates = self._find_candidates()
+        candidates = self.candidates
         if not candidates:
             return None
         weights = [spare_cores(member) for member in candidates]
         return random.choices(candidates, weights)[0].relay_address
 
-    def _find_candidates(self) -> list[Member]:
-        """Return the peers in the zone whose utilisation is not high."""
+    @property
+    def candidates(self) -> list[Member]:
+        """The peers in the zone whose utilisation is not high."""
         now = asyncio.get_running_loop().time()
         if now - self._checked_at < CANDIDATE_CACHE_SECONDS:
             return self._candidates
--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -244,6 +244,14 @@
             computed = tokens - shared_prefix_tokens(call.prompt)
             self._shares.record_request(owner, weight * tokens, weight * computed)
 
+    def record_shed(
+        self, call: CallerRequest, organisation: Organisation | None, weight: int = 1
+    ) -> None:
+        """Count the tokens of a request that is refused before it is placed."""
+        if call.prompt is not None:
+            owner = organisation.name if organisation is not None else ""
+            self._shares.record_shed(owner, weight * _total_tokens(call.prompt))
+
     async def place(self, context: RequestContext) -> Result[Placement, Fault]:
         """Return the endpoint for the next attempt."""
         if context.residency.regions == frozenset():
@@ -345,6 +353,9 @@
                 break
             best = with_room[0]
         fault_kind = FaultKind.OVER_SHARE if over_share else FaultKind.OVER_CAPACITY
+        prompt = context.request.prompt
+        assert prompt is not None
+        self._shares.record_declined(context.organisation_name, _total_tokens(prompt))
         _log.info(
             "request not placed",
             id=context.request.id,
@@ -471,6 +482,9 @@
         sent = self._sent.get(key)
         if sent is None:
             return
+        prompt = context.request.prompt
+        if prompt is not None:
+            self._shares.record_start(context.organisation_name, _total_tokens(prompt))
         if self._is_sample_valid(sent.sent_at):
             self._record_response_time(context, endpoint, sent)
         self._load.add_local(endpoint.id, 0, -sent.prefill_seconds)
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -438,6 +438,18 @@
         shares = self._placer.shares
         level = shares.level
         metrics.set("share_level_tokens", level if math.isfinite(level) else -1.0)
+        metrics.set("least_served_ratio", shares.least_served_ratio)
+        metrics.set("relaying_allowed", float(self._may_relay()))
+        metrics.set("offload_candidates", len(self._offloader.candidates))
+        acceptor = self._front.acceptor
+        metrics.replace(
+            "connection_refusals",
+            {(cause,): count for cause, count in acceptor.refusal_causes.items()},
+        )
+        metrics.replace(
+            "relay_responses",
+            {(result.value,): n for result, n in acceptor.relay_results.items()},
+        )
         metrics.replace("organisation_tokens", shares.totals())
         metrics.set("zones_drained", len(cache.drained_zones.zones))
         metrics.set(
--- a/packages/fleet/src/teaselledge_fleet/process/shares.py
+++ b/packages/fleet/src/teaselledge_fleet/process/shares.py
@@ -2,7 +2,7 @@
 
 from collections import defaultdict, deque
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from enum import IntEnum
 
 from teaselledge_fleet.process.sources import StatsBySource
@@ -107,8 +107,25 @@
 
 @dataclass
 class _TokenCounter:
+    """Tokens of an organisation at this router since its start.
+
+    Attributes
+    ----------
+    requested, allocated : int
+        As in `TokenUsage`.
+    shed : int
+        Tokens of requests that were refused before an engine was looked for.
+    declined : int
+        Tokens of requests for which no engine had room.
+    started : int
+        Tokens of requests whose first event was received.
+    """
+
     requested: int = 0
     allocated: int = 0
+    shed: int = 0
+    declined: int = 0
+    started: int = 0
 
 
 @dataclass
@@ -155,8 +172,19 @@
         self._fleet_usage: dict[int, TokenUsage] = {}
         self._least_used_share = 1.0
         """Part of its share that the least served waiting organisation has used."""
+        self._least_served_ratio = 1.0
         self._refreshed_at = -SAMPLE_INTERVAL_SECONDS
 
+    @property
+    def least_served_ratio(self) -> float:
+        """Part of what it is due that the least served waiting organisation got.
+
+        Due is what it requested or what the best served one got, whichever is less. It
+        is 1 if none waits.
+        """
+        self._refresh()
+        return self._least_served_ratio
+
     @property
     def level(self) -> float:
         """Guaranteed share of an organisation within the window, in tokens."""
@@ -193,6 +221,18 @@
         """Count the tokens of a request that is sent to an engine."""
         self._counter(organisation).allocated += tokens
 
+    def record_shed(self, organisation: str, tokens: int) -> None:
+        """Count the tokens of a request that was refused before it was placed."""
+        self._counter(organisation).shed += tokens
+
+    def record_declined(self, organisation: str, tokens: int) -> None:
+        """Count the tokens of a request for which no engine had room."""
+        self._counter(organisation).declined += tokens
+
+    def record_start(self, organisation: str, tokens: int) -> None:
+        """Count the tokens of a request whose first event was received."""
+        self._counter(organisation).started += tokens
+
     def status(self, organisation: str, tolerance_factor: float) -> ShareStatus:
         """Return the share status of an organisation; inside while all demands fit.
 
@@ -243,8 +283,8 @@
         for organisation, organisation_hash in self._hash_by_name.items():
             counter = self._counters.get(organisation_hash)
             if counter is not None:
-                totals[organisation, "requested"] = counter.requested
-                totals[organisation, "allocated"] = counter.allocated
+                for use, tokens in asdict(counter).items():
+                    totals[organisation, use] = tokens
         return totals
 
     def local(self) -> dict[int, TokenUsage]:
@@ -278,12 +318,15 @@
         self._guaranteed_level = max_min_share(requested, min(allocated, guaranteed))
         self._allocated_level = max_min_share(requested, allocated)
         min_deficit = self._guaranteed_level * MIN_DEFICIT_FRACTION
-        self._least_used_share = min(
-            (
-                self._used_share(usage)
-                for usage in fleet_usage.values()
-                if usage.requested - usage.allocated > min_deficit
-            ),
+        waiting = [
+            usage
+            for usage in fleet_usage.values()
+            if usage.requested - usage.allocated > min_deficit
+        ]
+        self._least_used_share = min(map(self._used_share, waiting), default=1.0)
+        best = max((usage.allocated for usage in fleet_usage.values()), default=0)
+        self._least_served_ratio = min(
+            (usage.allocated / max(1, min(usage.requested, best)) for usage in waiting),
             default=1.0,
         )
 
--- a/packages/fleet/src/teaselledge_fleet/request/context.py
+++ b/packages/fleet/src/teaselledge_fleet/request/context.py
@@ -132,6 +132,11 @@
         refused without being read.
         """
 
+    def record_shed(
+        self, call: CallerRequest, organisation: Organisation | None, weight: int = 1
+    ) -> None:
+        """Count a permitted request that is refused before it is placed."""
+
     async def place(self, context: RequestContext) -> Result[Placement, Fault]:
         """Return the endpoint for the next attempt, or why there is none."""
 
--- a/packages/fleet/src/teaselledge_fleet/request/serving.py
+++ b/packages/fleet/src/teaselledge_fleet/request/serving.py
@@ -5,6 +5,7 @@
 
 from expression import Error, Ok, Result
 
+from teaselledge_fleet.connection.accepting import ConnectionOrigin
 from teaselledge_fleet.connection.endpoint import (
     Exchange,
     IncompleteResponseError,
@@ -151,11 +152,11 @@
             # recorded before any refusal: an organisation with many refused requests
             # would otherwise appear to have little demand and lose its share
             self._placer.record_demand(request, resolved.ok[1], origin.sample_weight)
-        if self.leaving:
-            return Error(Fault(FaultKind.LEAVING, LEAVING_RETRY_SECONDS))
-        overloaded = self.is_overloaded() and not origin.entitled
-        if overloaded or origin.overloaded:
-            return Error(Fault(FaultKind.ROUTER_BUSY, BUSY_RETRY_SECONDS))
+        fault = self._router_fault(origin)
+        if fault is not None:
+            if resolved.is_ok():
+                self._placer.record_shed(request, resolved.ok[1], origin.sample_weight)
+            return Error(fault)
         if resolved.is_error():
             return Error(resolved.error)
         route, organisation = resolved.ok
@@ -179,6 +180,15 @@
             )
         )
 
+    def _router_fault(self, origin: ConnectionOrigin) -> Fault | None:
+        """Return why this router serves no request now; None if it does."""
+        if self.leaving:
+            return Fault(FaultKind.LEAVING, LEAVING_RETRY_SECONDS)
+        overloaded = self.is_overloaded() and not origin.entitled
+        if overloaded or origin.overloaded:
+            return Fault(FaultKind.ROUTER_BUSY, BUSY_RETRY_SECONDS)
+        return None
+
     def _record_refusal(
         self, request: CallerRequest, remote_ip: str, fault: Fault
     ) -> None:
--- a/packages/standins/src/teaselledge_standins/routes.py
+++ b/packages/standins/src/teaselledge_standins/routes.py
@@ -88,6 +88,11 @@
     ) -> None:
         """Do nothing."""
 
+    def record_shed(
+        self, call: CallerRequest, organisation: Organisation | None, weight: int = 1
+    ) -> None:
+        """Do nothing."""
+
     async def place(self, context: RequestContext) -> Result[Placement, Fault]:
         """Return the first endpoint that the request was not sent to."""
         for endpoint in self.endpoints:
