--- a/packages/fleet/tests/test_gossip.py
+++ b/packages/fleet/tests/test_gossip.py
@@ -250,3 +250,18 @@
             zone_peers = [r.vm for r in fleet.routers if r.members.own.zone == own]
             ready = [m.vm for m in router.members.ready if m.zone == own]
             assert sorted(ready) == sorted(zone_peers)
+
+
+async def test_routers_of_a_calm_fleet_always_know_a_ready_one_in_each_zone():
+    """Otherwise they take a zone or region for dead between two reports on it."""
+    zone_count, count = 6, 62
+    store = new_store()
+    async with running_gossip_fleet(
+        store, count, decode_empty_routing, zone_count
+    ) as fleet:
+        await asyncio.sleep(10)
+        zones = {f"z{number}" for number in range(zone_count)}
+        for _ in range(50):
+            await asyncio.sleep(0.2)
+            for router in fleet.routers:
+                assert {m.zone for m in router.members.ready} == zones, router.vm
--- a/packages/fleet/tests/test_relay.py
+++ b/packages/fleet/tests/test_relay.py
@@ -5,9 +5,12 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
+from expression import Error, Result
 from teaselledge_fleet.connection.relay import RelayPool, preface, read_preface
+from teaselledge_fleet.faults import Fault, FaultKind
 from teaselledge_fleet.process.endpoints import Endpoint
 from teaselledge_fleet.process.passingrate import OffloadLimiter
+from teaselledge_fleet.request.context import Placement, RequestContext
 from teaselledge_fleet.version.routes import RetryPolicy
 from teaselledge_standins.fleetrouters import RunningRouter, running_routers
 from teaselledge_standins.routes import HOST, make_route, make_routing, send_request
@@ -156,6 +159,22 @@
     assert not pair.engine.received
 
 
+async def test_refusals_by_shares_do_not_stop_relaying(pair):
+    """An organisation over its share would lose what the neighbour has room for."""
+
+    async def refuse(context: RequestContext) -> Result[Placement, Fault]:
+        return Error(Fault(FaultKind.OVER_SHARE, 1.0))
+
+    pair.neighbour.router._placer.place = refuse
+    overloaded = pair.overloaded.router
+    for _ in range(REFUSED_REQUESTS):
+        assert (await send_request(pair.overloaded.port)).status == 429
+    OffloadLimiter.start_tick(overloaded._offload_limiter)
+    for _ in range(REFUSED_REQUESTS):
+        assert (await send_request(pair.overloaded.port)).status == 429
+    assert overloaded._front.acceptor.relayed == 2 * REFUSED_REQUESTS
+
+
 async def test_router_that_shuts_down_relays_nothing(pair):
     """A relayed request would be cut off when this router stops."""
     pair.overloaded.router._server.leaving = True
