--- a/packages/fleet/src/teaselledge_fleet/connection/relay.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/relay.py
@@ -89,7 +89,7 @@
     results : Counter of RelayResult
         Number of responses so far, by result.
     on_relay_refused : callable
-        Called when the other router refuses the request.
+        Called when the other router has no capacity for the request.
     """
 
     def __init__(self, idle_seconds: float) -> None:
@@ -149,7 +149,7 @@
 
     def _record_result(self, result: RelayResult) -> None:
         self.results[result] += 1
-        if result is not RelayResult.SERVED:
+        if result is RelayResult.REFUSED_BY_ROUTER:
             self.on_relay_refused()
 
     def close(self) -> None:
--- a/packages/fleet/src/teaselledge_fleet/process/passingrate.py
+++ b/packages/fleet/src/teaselledge_fleet/process/passingrate.py
@@ -20,6 +20,9 @@
 class OffloadLimiter:
     """Limits the rate of offloading by the refusals of other routers.
 
+    Only refusals for want of a router count, as shares and engines refuse a request at
+    any router.
+
     A connection that is refused after it was offloaded costs two routers more than its
     request is worth, and delays its caller. Refusing it here at once costs a third of
     offloading it.
