--- a/packages/fleet/src/teaselledge_fleet/process/gossip.py
+++ b/packages/fleet/src/teaselledge_fleet/process/gossip.py
@@ -293,7 +293,11 @@
         members = self._members
         zone_peers = members.zone_peers
         alive = zone_peers if scope is Scope.FLEET else []
-        reports = [members.report(peer) for peer in alive]
+        # those of other zones come last, as marks are sent of the zone's own only
+        reports = [
+            members.report(each)
+            for each in [*alive, *self._other_zones_to_report(scope)]
+        ]
         self._sequence += 1
         heartbeat = Pulse(
             PROTOCOL,
@@ -343,6 +347,16 @@
                     forwarded.others = self._make_reports(delivery.unknown_members)
                 self._socket.send(delivery.recipient.peer_address, forwarded)
 
+    def _other_zones_to_report(self, scope: Scope) -> list[Member]:
+        """Return the routers of other zones that this zone's aggregator hears.
+
+        The others of its zone hear none of them, and would take zones for dead between
+        two member reports.
+        """
+        if scope is not Scope.FLEET:
+            return []
+        return [m for m in self._members.alive if m.zone != self._members.own.zone]
+
     def _coordinators_to_send(self, scope: Scope) -> list[Member]:
         """Return the coordinators of one zone; the other zones take turns."""
         own = self._members.own.zone
@@ -462,7 +476,7 @@
         return [name_hash(aggregator.vm)]
 
     def _apply_statuses(self, sender: Member, heartbeat: Pulse) -> None:
-        """Apply the aggregator's statuses of this zone's routers."""
+        """Apply the statuses that this zone's aggregator sent."""
         near = sender.zone == self._members.own.zone
         if not heartbeat.alive or not near or self._topology.is_aggregator:
             return
--- a/packages/fleet/src/teaselledge_fleet/process/members.py
+++ b/packages/fleet/src/teaselledge_fleet/process/members.py
@@ -394,7 +394,10 @@
         return before is None or before.member != member
 
     def update_from_aggregator(self, statuses: Mapping[int, MemberStatus]) -> None:
-        """Apply the aggregator's statuses of this zone's routers, by VM name hash."""
+        """Apply the statuses that this zone's aggregator sent, by VM name hash.
+
+        Those of other zones count as member reports.
+        """
         now = self._now()
         self._alive_cache = None
         for vm_hash, status in statuses.items():
@@ -406,7 +409,10 @@
                 record.member = replace(
                     record.member, state=status.state, utilisation=status.utilisation
                 )
-            record.aggregated_at = max(record.aggregated_at, heartbeat_at)
+            if record.member.zone == self._own.zone:
+                record.aggregated_at = max(record.aggregated_at, heartbeat_at)
+            else:
+                record.reported_at = max(record.reported_at, heartbeat_at)
             record.updated_at = max(record.updated_at, heartbeat_at)
 
     def merge_report(self, report: MemberReport) -> bool:
--- a/packages/fleet/tests/test_members.py
+++ b/packages/fleet/tests/test_members.py
@@ -13,6 +13,7 @@
 
 VIRTUAL_CLOCK = True
 OTHER = Member("r2", 1, "z2", "z2", "r2:2", "r2:1", MemberState.READY)
+ZONE_PEER = replace(OTHER, zone="z1")
 
 
 @contextmanager
@@ -79,9 +80,9 @@
     assert advertised(members)
 
 
-def aggregated(silent: float) -> dict:
-    """Return the status of the other router as the zone's aggregator sends it."""
-    reports = [MemberReport(OTHER, silent)]
+def aggregated(silent: float, member: Member = ZONE_PEER) -> dict:
+    """Return the status of a router as the zone's aggregator sends it."""
+    reports = [MemberReport(member, silent)]
     return unpack_member_statuses(
         pack_member_statuses(reports), pack_member_ages(reports)
     )
@@ -89,20 +90,34 @@
 
 async def test_status_from_the_aggregator_ages_from_the_last_heartbeat(members):
     """Routers that become aggregator in turn must not renew a silent router."""
-    members.update_from_heartbeat(OTHER)
+    members.update_from_heartbeat(ZONE_PEER)
     for _ in range(6):
         await asyncio.sleep(0.4)
-        silent = members.report(OTHER).silent_seconds
+        silent = members.report(ZONE_PEER).silent_seconds
         members.update_from_aggregator(aggregated(silent))
         assert advertised(members) == (silent <= 2.0)
-    assert members.report(OTHER).silent_seconds > 2.3
+    assert members.report(ZONE_PEER).silent_seconds > 2.3
 
 
 async def test_status_of_an_earlier_release_counts_as_old(members):
-    members.update_from_heartbeat(OTHER)
+    members.update_from_heartbeat(ZONE_PEER)
     await asyncio.sleep(5)
     members.update_from_aggregator(
-        unpack_member_statuses(pack_member_statuses([MemberReport(OTHER, 0.1)]), b"")
+        unpack_member_statuses(
+            pack_member_statuses([MemberReport(ZONE_PEER, 0.1)]), b""
+        )
     )
-    assert members.alive == [OTHER]
-    assert members.report(OTHER).silent_seconds == 1.0
+    assert members.alive == [ZONE_PEER]
+    assert members.report(ZONE_PEER).silent_seconds == 1.0
+
+
+async def test_status_of_another_zone_counts_as_a_report(members):
+    """The zone's aggregator hears few routers of other zones."""
+    members.update_from_heartbeat(OTHER)
+    await asyncio.sleep(5)
+    assert not advertised(members)
+    members.update_from_aggregator(aggregated(0.5, OTHER))
+    assert advertised(members)
+    assert members.alive == []
+    await asyncio.sleep(2.6)
+    assert not advertised(members)
--- a/packages/wire/fleet.thrift
+++ b/packages/wire/fleet.thrift
@@ -65,7 +65,8 @@
   10: binary work,
   11: binary uses,
   12: list<RouterInfo> others,
-  // status of the alive routers of the sender's zone, packed
+  // status of the alive routers of the sender's zone, with scope 3 followed by those of
+  // other zones that the sender hears, packed
   13: binary alive,
   // coordinators of the endpoints of one zone, in some heartbeats
   14: list<RouterInfo> admitting,
