--- a/packages/fleet/src/teaselledge_fleet/connection/accepting.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/accepting.py
@@ -29,7 +29,12 @@
 )
 from teaselledge_fleet.log import get_log
 
-__all__ = ["DIRECT_ORIGIN", "REFUSALS_PER_SAMPLE", "Acceptor", "ConnectionOrigin"]
+__all__ = [
+    "DIRECT_ORIGIN",
+    "SAMPLE_INTERVAL_SECONDS",
+    "Acceptor",
+    "ConnectionOrigin",
+]
 
 _log = get_log("accepting")
 
@@ -37,8 +42,9 @@
 """Timeout for the preface of a relayed connection. The relaying router sends it
 immediately, and callers would not wait longer for a response either."""
 
-REFUSALS_PER_SAMPLE = 8
-"""One in this number of connections refused for overload is read."""
+SAMPLE_INTERVAL_SECONDS = 0.05
+"""Minimum time between two refused connections that are read. A router that is flooded
+needs its CPU time for connections that it can pass on."""
 
 MIN_RETRY_SECONDS, MAX_RETRY_SECONDS, RETRY_AFTER_STEPS = 0.5, 1.5, 11
 """Range of the ``Retry-After`` that callers get when they are refused unread. All of
@@ -135,6 +141,9 @@
         self.relayed = 0
         self.sampled = 0
         self.refusal_causes: Counter[str] = Counter()
+        self._sampled_at = -SAMPLE_INTERVAL_SECONDS
+        self._unsampled = 0
+        """Connections refused unread since the last sample."""
         self._relays = RelayPool(idle_seconds)
         self._relays.on_relay_refused = lambda: self.on_relay_refused()
         self._shedder = LoadShedder(_encode_refusals())
@@ -216,15 +225,20 @@
     def _refuse(self, connection: socket.socket, address: Any) -> None:
         """Refuse a connection, in most cases without reading the request.
 
-        A sample is read to attribute the refused demand to organisations.
+        A sample is read to attribute the refused demand to organisations. It stands for
+        the connections that were refused unread since the one before.
         """
-        if self.refused % REFUSALS_PER_SAMPLE:
+        now = asyncio.get_running_loop().time()
+        if now - self._sampled_at < SAMPLE_INTERVAL_SECONDS:
+            self._unsampled += 1
             self._shedder.refuse(connection, address)
             return
         stream = IOStream(connection)
         self._origins[stream] = ConnectionOrigin(
-            sample_weight=REFUSALS_PER_SAMPLE, overloaded=True
+            sample_weight=self._unsampled + 1, overloaded=True
         )
+        self._unsampled = 0
+        self._sampled_at = now
         self.sampled += 1
         self._serve(stream, address)
 
