Count as allocated only what engines begin (FAIR)

What callers saw: while engines crash, organisations whose callers are spread over many routers are refused over their share though they got less than it.

Cause: tokens were counted at each placement until the first send, so a request whose connections fail counted again at each endpoint, and one that was declined, withdrawn or lost stayed counted. Class: an intent is counted as its outcome.

Change: an attempt's tokens are taken back if it ends without a response having begun (unsent, withdrawn, declined, lost); the next attempt counts them again.

test_only_requests_that_engines_begin_count_as_allocated fails before.

--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -68,6 +68,12 @@
 """Congestion of the path to an endpoint from which its response times tell nothing
 about the endpoint. A body takes several round trips, and each of them is late."""
 
+NOT_BEGUN_OUTCOMES = frozenset(
+    {Outcome.UNSENT, Outcome.WITHDRAWN, Outcome.DECLINED, Outcome.LOST}
+)
+"""Outcomes of attempts whose tokens do not count as allocated, unless a response had
+begun."""
+
 MAX_PLAIN_WAIT_SECONDS = 60.0
 """Queueing time of plain requests in queries; their coordinators don't limit it."""
 
@@ -88,6 +94,8 @@
         Whether the endpoint's coordinator admitted it.
     slowdown : float
         Slowdown of the engines with which the prefill time was predicted.
+    allocated : int
+        Tokens counted as allocated; 0 once the response has begun.
     """
 
     prefill_seconds: float
@@ -95,6 +103,7 @@
     wait: float = 0.0
     granted: bool = False
     slowdown: float = 1.0
+    allocated: int = 0
 
 
 class AdmissionCheck(Protocol):
@@ -453,10 +462,11 @@
                     requirements.ranked_engines[0],
                     best.endpoint,
                 )
-        if not context.send_count:
-            self._shares.record_allocation(
-                context.organisation_name, _total_tokens(prompt)
-            )
+        if context.first_event_at is None:
+            tokens = _total_tokens(prompt)
+            self._shares.record_allocation(context.organisation_name, tokens)
+            key = (context.request.id, best.endpoint.id)
+            self._sent[key] = replace(self._sent[key], allocated=tokens)
         return self._placement(context, best)
 
     def may_send(self, context: RequestContext, endpoint: Endpoint) -> bool:
@@ -488,7 +498,7 @@
         if self._is_sample_valid(sent.sent_at):
             self._record_response_time(context, endpoint, sent)
         self._load.add_local(endpoint.id, 0, -sent.prefill_seconds)
-        self._sent[key] = replace(sent, prefill_seconds=0.0)
+        self._sent[key] = replace(sent, prefill_seconds=0.0, allocated=0)
 
     def _record_response_time(
         self, context: RequestContext, endpoint: Endpoint, sent: _SentRequest
@@ -509,7 +519,9 @@
         self, context: RequestContext, endpoint: Endpoint, outcome: Outcome
     ) -> None:
         """Record the end of an attempt."""
-        self._remove_attempt(context, endpoint)
+        sent = self._remove_attempt(context, endpoint)
+        if sent is not None and outcome in NOT_BEGUN_OUTCOMES:
+            self._shares.record_allocation(context.organisation_name, -sent.allocated)
         if outcome is Outcome.UNSENT:
             self._outliers.record_connect_failure(endpoint.id)
             self._warmup.suspect(endpoint)
@@ -615,10 +627,13 @@
         )
         self._sent[context.request.id, best.endpoint.id] = sent
 
-    def _remove_attempt(self, context: RequestContext, endpoint: Endpoint) -> None:
+    def _remove_attempt(
+        self, context: RequestContext, endpoint: Endpoint
+    ) -> _SentRequest | None:
         sent = self._sent.pop((context.request.id, endpoint.id), None)
         if sent is not None:
             self._load.add_local(endpoint.id, -1, -sent.prefill_seconds)
+        return sent
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
--- a/packages/fleet/src/teaselledge_fleet/process/shares.py
+++ b/packages/fleet/src/teaselledge_fleet/process/shares.py
@@ -147,7 +147,9 @@
         if not self.samples:
             return TokenUsage(counter.requested, counter.allocated)
         _, requested, allocated = self.samples[0]
-        return TokenUsage(counter.requested - requested, counter.allocated - allocated)
+        # what was allocated before the window may be taken back within it
+        allocated = max(0, counter.allocated - allocated)
+        return TokenUsage(counter.requested - requested, allocated)
 
 
 class OrganisationShares(StatsBySource[TokenUsage]):
@@ -218,7 +220,10 @@
         )
 
     def record_allocation(self, organisation: str, tokens: int) -> None:
-        """Count the tokens of a request that is sent to an engine."""
+        """Count the tokens of a request that is sent to an engine.
+
+        They are negative if it turns out that the engine did not begin it.
+        """
         self._counter(organisation).allocated += tokens
 
     def record_shed(self, organisation: str, tokens: int) -> None:
--- a/packages/fleet/tests/test_placing.py
+++ b/packages/fleet/tests/test_placing.py
@@ -505,6 +505,22 @@
     assert usage[name_hash("cellar")].allocated >= 16_700
 
 
+async def test_only_requests_that_engines_begin_count_as_allocated():
+    """While engines crash, organisations seemed to get up to twice what they got."""
+    harness = PlacerHarness()
+    shares = harness.placer.shares
+    context = harness.context()
+    for outcome in (Outcome.UNSENT, Outcome.DECLINED, Outcome.LOST):
+        placed = await harness.placer.place(context)
+        harness.placer.on_attempt_ended(context, placed.ok.endpoint, outcome)
+        assert shares.local() == {}
+    placed = await harness.placer.place(context)
+    harness.placer.on_response_started(context, placed.ok.endpoint)
+    harness.placer.on_attempt_ended(context, placed.ok.endpoint, Outcome.LOST)
+    (usage,) = shares.local().values()
+    assert usage.allocated >= 16_700
+
+
 async def test_cached_prefixes_do_not_use_up_the_guaranteed_rate():
     """Callers were refused over their share of a rate that engines had not reached."""
     harness = PlacerHarness()
