Use a reply that has arrived though its timeout is due (FAIR)

Cause: an event loop that comes round late finds the reply and the expired timeout in the same iteration; the timeout cancelled the task, and the reply was dropped. After two of these the router excludes the coordinator for 3 s, and counts the path as congested.

Change: PendingReplies.wait returns the result if there is one.

A reply that has really not arrived counts as missed as before.

test_a_reply_that_has_arrived_counts_though_the_event_loop_was_late fails before.

--- a/packages/fleet/src/teaselledge_fleet/connection/replies.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/replies.py
@@ -22,7 +22,8 @@
             async with asyncio.timeout(seconds):
                 return await future
         except TimeoutError:
-            return None
+            # a late event loop may find the reply and the timeout at the same time
+            return future.result() if _has_result(future) else None
         finally:
             del self._pending[sequence]
 
@@ -31,3 +32,7 @@
         future = self._pending.get(sequence)
         if future is not None and not future.done():
             future.set_result(reply)
+
+
+def _has_result(future: "asyncio.Future[ReplyT]") -> bool:
+    return future.done() and not future.cancelled()
--- a/packages/fleet/tests/test_peers.py
+++ b/packages/fleet/tests/test_peers.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import socket
+import time
 
 from teaselledge_fleet.connection.codec import encode_datagram
 from teaselledge_fleet.connection.peers import PeerSocket
+from teaselledge_fleet.connection.replies import PendingReplies
 from teaselledge_standins.processes import free_ports
 from teaselledge_wire.gen.fleet.ttypes import AdmissionReply
 
@@ -27,3 +29,20 @@
         await asyncio.sleep(0)
     peer.close()
     assert received == list(range(MESSAGES))
+
+
+async def test_a_reply_that_has_arrived_counts_though_the_event_loop_was_late():
+    """An overloaded router took coordinators for silent that had replied."""
+    replies: PendingReplies[str] = PendingReplies()
+    loop = asyncio.get_running_loop()
+    local, remote = socket.socketpair()
+    loop.add_reader(local, lambda: replies.resolve(1, local.recv(5).decode()))
+    waiting = asyncio.create_task(replies.wait(1, 0.02))
+    await asyncio.sleep(0)
+    # in one iteration, so that the next one finds both the reply and the timeout
+    loop.call_soon(time.sleep, 0.05)
+    loop.call_soon(remote.send, b"reply")
+    assert await waiting == "reply"
+    loop.remove_reader(local)
+    local.close()
+    remote.close()
