--- a/packages/fleet/src/teaselledge_fleet/connection/accepting.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/accepting.py
@@ -31,6 +31,7 @@
 
 __all__ = [
     "DIRECT_ORIGIN",
+    "REFUSALS_PER_SAMPLE",
     "SAMPLE_INTERVAL_SECONDS",
     "Acceptor",
     "ConnectionOrigin",
@@ -42,6 +43,9 @@
 """Timeout for the preface of a relayed connection. The relaying router sends it
 immediately, and callers would not wait longer for a response either."""
 
+REFUSALS_PER_SAMPLE = 8
+"""At most one in this number of connections refused for overload is read."""
+
 SAMPLE_INTERVAL_SECONDS = 0.05
 """Minimum time between two refused connections that are read. A router that is flooded
 needs its CPU time for connections that it can pass on."""
@@ -228,14 +232,17 @@
         A sample is read to attribute the refused demand to organisations. It stands for
         the connections that were refused unread since the one before.
         """
+        self._unsampled += 1
         now = asyncio.get_running_loop().time()
-        if now - self._sampled_at < SAMPLE_INTERVAL_SECONDS:
-            self._unsampled += 1
+        if (
+            self._unsampled < REFUSALS_PER_SAMPLE
+            or now - self._sampled_at < SAMPLE_INTERVAL_SECONDS
+        ):
             self._shedder.refuse(connection, address)
             return
         stream = IOStream(connection)
         self._origins[stream] = ConnectionOrigin(
-            sample_weight=self._unsampled + 1, overloaded=True
+            sample_weight=self._unsampled, overloaded=True
         )
         self._unsampled = 0
         self._sampled_at = now
@@ -243,6 +250,7 @@
         self._serve(stream, address)
 
     def _serve_entitled(self, connection: socket.socket, address: Any) -> None:
+        self._unsampled = max(0, self._unsampled - 1)
         stream = IOStream(connection)
         self._origins[stream] = ConnectionOrigin(entitled=True)
         self._serve(stream, address)
