--- a/packages/fleet/src/teaselledge_fleet/process/members.py
+++ b/packages/fleet/src/teaselledge_fleet/process/members.py
@@ -240,8 +240,11 @@
 
     def is_advertised(self, now: float) -> bool:
         """Whether callers may be sent to the router."""
-        if self.ignores_reports(now):
-            return self.is_alive(now)
+        if self.is_alive(now):
+            return True
+        last = max(self.direct_at, self.forwarded_at, self.aggregated_at)
+        if self.ignores_reports(now) and self.reported_at <= last:
+            return False
         return now - self.reported_at <= REPORTED_SILENT_SECONDS
 
 
--- a/packages/fleet/tests/test_members.py
+++ b/packages/fleet/tests/test_members.py
@@ -121,3 +121,12 @@
     assert members.alive == []
     await asyncio.sleep(2.6)
     assert not advertised(members)
+
+
+async def test_status_of_another_zone_counts_after_a_heartbeat(members):
+    """After one heartbeat a router of another zone seemed silent for two seconds."""
+    members.update_from_heartbeat(OTHER)
+    for _ in range(10):
+        await asyncio.sleep(0.4)
+        members.update_from_aggregator(aggregated(0.1, OTHER))
+        assert advertised(members)
