Take back only allocations of the current window

Found in review of: tokens of an attempt that is lost after more than the window of 4 s were subtracted from what had been allocated since; an organisation with a hanging engine looked unserved, the level fell, and others were over it. The metric of allocated tokens, a counter, fell, too; what is taken back has a counter of its own.

test_what_a_hanging_engine_never_began_hides_no_later_allocation fails before.

--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -521,7 +521,9 @@
         """Record the end of an attempt."""
         sent = self._remove_attempt(context, endpoint)
         if sent is not None and outcome in NOT_BEGUN_OUTCOMES:
-            self._shares.record_allocation(context.organisation_name, -sent.allocated)
+            self._shares.record_return(
+                context.organisation_name, sent.allocated, sent.sent_at
+            )
         if outcome is Outcome.UNSENT:
             self._outliers.record_connect_failure(endpoint.id)
             self._warmup.suspect(endpoint)
--- a/packages/fleet/src/teaselledge_fleet/process/shares.py
+++ b/packages/fleet/src/teaselledge_fleet/process/shares.py
@@ -112,7 +112,9 @@
     Attributes
     ----------
     requested, allocated : int
-        As in `TokenUsage`.
+        As in `TokenUsage`, but for what was returned.
+    returned : int
+        Allocated tokens of attempts that no endpoint began.
     shed : int
         Tokens of requests that were refused before an engine was looked for.
     declined : int
@@ -123,10 +125,16 @@
 
     requested: int = 0
     allocated: int = 0
+    returned: int = 0
     shed: int = 0
     declined: int = 0
     started: int = 0
 
+    @property
+    def retained(self) -> int:
+        """Allocated tokens without the returned ones."""
+        return self.allocated - self.returned
+
 
 @dataclass
 class _SlidingWindow:
@@ -138,17 +146,17 @@
         """Sample the counters."""
         if self.samples and now - self.samples[-1][0] < SAMPLE_INTERVAL_SECONDS:
             return
-        self.samples.append((now, counter.requested, counter.allocated))
+        self.samples.append((now, counter.requested, counter.retained))
         while len(self.samples) > 1 and now - self.samples[1][0] >= WINDOW_SECONDS:
             self.samples.popleft()
 
     def growth(self, counter: _TokenCounter) -> TokenUsage:
         """Return the increase of the counters within the window."""
         if not self.samples:
-            return TokenUsage(counter.requested, counter.allocated)
-        _, requested, allocated = self.samples[0]
-        # what was allocated before the window may be taken back within it
-        allocated = max(0, counter.allocated - allocated)
+            return TokenUsage(counter.requested, counter.retained)
+        _, requested, retained = self.samples[0]
+        # what was allocated just before the window may be returned within it
+        allocated = max(0, counter.retained - retained)
         return TokenUsage(counter.requested - requested, allocated)
 
 
@@ -220,11 +228,19 @@
         )
 
     def record_allocation(self, organisation: str, tokens: int) -> None:
-        """Count the tokens of a request that is sent to an engine.
+        """Count the tokens of a request that is sent to an engine."""
+        self._counter(organisation).allocated += tokens
 
-        They are negative if it turns out that the engine did not begin it.
+    def record_return(
+        self, organisation: str, tokens: int, allocated_at: float
+    ) -> None:
+        """Take back the tokens of a request that no engine began.
+
+        Those allocated before the window no longer count; taken back, they would hide
+        what was allocated since.
         """
-        self._counter(organisation).allocated += tokens
+        if self._now() - allocated_at < WINDOW_SECONDS:
+            self._counter(organisation).returned += tokens
 
     def record_shed(self, organisation: str, tokens: int) -> None:
         """Count the tokens of a request that was refused before it was placed."""
--- a/packages/fleet/tests/test_placing.py
+++ b/packages/fleet/tests/test_placing.py
@@ -29,6 +29,7 @@
 from tornado.httputil import HTTPHeaders
 
 VIRTUAL_CLOCK = True
+NOT_BEGUN = (Outcome.UNSENT, Outcome.WITHDRAWN, Outcome.DECLINED, Outcome.LOST)
 ZONES = {"north": "west", "south": "west", "far": "east"}
 ENGINES = [
     Endpoint(f"e{number}", "books", f"127.0.0.1:{number}", zone, 48)
@@ -510,7 +511,7 @@
     harness = PlacerHarness()
     shares = harness.placer.shares
     context = harness.context()
-    for outcome in (Outcome.UNSENT, Outcome.DECLINED, Outcome.LOST):
+    for outcome in NOT_BEGUN:
         placed = await harness.placer.place(context)
         harness.placer.on_attempt_ended(context, placed.ok.endpoint, outcome)
         assert shares.local() == {}
--- a/packages/fleet/tests/test_shares.py
+++ b/packages/fleet/tests/test_shares.py
@@ -73,6 +73,23 @@
     assert not local.is_over_share("a", 1.0)
 
 
+async def test_what_a_hanging_engine_never_began_hides_no_later_allocation():
+    """Its organisation would look unserved, and others over their share."""
+    shares, loop = OrganisationShares(), asyncio.get_running_loop()
+    for tokens in (16_700, 5_000):
+        allocated_at = loop.time()
+        shares.record_allocation("a", tokens)
+        for _ in range(12):
+            shares.local()
+            await asyncio.sleep(0.5)
+    shares.record_allocation("a", 7_000)
+    shares.record_return("a", 5_000, allocated_at)
+    (usage,) = shares.local().values()
+    assert usage.allocated == 7_000
+    shares.record_return("a", 7_000, loop.time())
+    assert shares.local() == {}
+
+
 async def test_sums_of_sources_add_up():
     first, second, third = (OrganisationShares() for _ in range(3))
     first.record_request("a", 100)
