Read 200 datagrams at once at most; test which refusals are a router's own

Found in review of: 500 datagrams could make two long iterations, from which a router refuses; an address with a port beyond 65,535, as a peer could send it, ended gossip by an OverflowError; two of the three kinds of fault of a router had no test.

--- a/packages/fleet/src/teaselledge_fleet/connection/peers.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/peers.py
@@ -28,8 +28,8 @@
 
 MAX_DATAGRAM_BYTES = 1 << 16
 
-MAX_DATAGRAMS_PER_READ = 500
-"""Datagrams handled without a break, 0.1 s of a small router's CPU time."""
+MAX_DATAGRAMS_PER_READ = 200
+"""Datagrams handled without a break, so that a flood of them can't stop the router."""
 
 STATE_PATH = "/fleet/state"
 
@@ -105,8 +105,9 @@
             if self._socket is None or not port.isdigit():
                 continue
             self.sent_bytes += len(data)
-            # without room in the buffer it is lost, like any datagram
-            with suppress(OSError):
+            # without room in the buffer it is lost, like any datagram; a peer may have
+            # sent an address that does not exist
+            with suppress(OSError, OverflowError):
                 self._socket.sendto(data, (host, int(port)))
 
     def close(self) -> None:
--- a/packages/fleet/tests/test_relay.py
+++ b/packages/fleet/tests/test_relay.py
@@ -6,8 +6,13 @@
 from dataclasses import dataclass
 
 from expression import Error, Result
-from teaselledge_fleet.connection.relay import RelayPool, preface, read_preface
-from teaselledge_fleet.faults import Fault, FaultKind
+from teaselledge_fleet.connection.relay import (
+    RelayPool,
+    RelayResult,
+    preface,
+    read_preface,
+)
+from teaselledge_fleet.faults import FAULT_RESPONSES, Fault, FaultKind, fault_body
 from teaselledge_fleet.process.endpoints import Endpoint
 from teaselledge_fleet.process.passingrate import OffloadLimiter
 from teaselledge_fleet.request.context import Placement, RequestContext
@@ -175,6 +180,17 @@
     assert overloaded._front.acceptor.relayed == 2 * REFUSED_REQUESTS
 
 
+def test_only_faults_of_the_router_itself_count_as_its_refusals():
+    """Any router would refuse a request for its share or for want of an engine."""
+    by_router = {FaultKind.NOT_CONFIGURED, FaultKind.LEAVING, FaultKind.ROUTER_BUSY}
+    for kind in FaultKind:
+        status = FAULT_RESPONSES[kind].status
+        response = f"HTTP/1.1 {status} x\r\n\r\n".encode() + fault_body(Fault(kind))
+        result = RelayResult.of_response(response)
+        assert (result is RelayResult.REFUSED_BY_ROUTER) == (kind in by_router), kind
+        assert (result is RelayResult.SERVED) == (status not in (429, 503)), kind
+
+
 async def test_router_that_shuts_down_relays_nothing(pair):
     """A relayed request would be cut off when this router stops."""
     pair.overloaded.router._server.leaving = True
