--- a/tools/capacity_page.py
+++ b/tools/capacity_page.py
@@ -137,7 +137,15 @@
 0.521 on c72f7ae, two plays, gate passed |
 | sudtrag-hq-grown, scale-1 | 0.47 at the mean of its heavy days | 0.567 with FAIR \
 broken on c72f7ae; 0.403 with no rule broken on 93256fe; 0.349 on 7a689d0; 0.491 until \
-it was given up at 27.4 s, no rule broken (trial of shares in whole prompts) |
+it was given up at 27.4 s, no rule broken (trial of shares in whole prompts); 0.505 on \
+fd21814 and 0.563 on ac0a296, no rule broken in either |
+| connections passed on by the flooded router of shifted scale-1, 13 s to 25 s | each \
+second | 0 for five to ten seconds in two plays of four, FAIR broken in both, on \
+fd21814; 556 to 980 in one play with four of the changes of the incident of closed \
+relays |
+| live routers of 62 in 6 zones, no fault, virtual clock | each router knows a ready \
+one in each zone at any time | fails within a second before, 10 s without a miss \
+after |
 | sudtrag-hq-grown scale-1, no time charged, up to 20 s | no rule broken | FAIR 1 in \
 each play of 8dcfd26 (0.297), none with the link's congestion counted, one estimate of \
 engines and a limit that falls with contended use (0.484, 530d76c0) |
@@ -160,7 +168,7 @@
 | sudtrag-hq, all days | none lower by 0.03 | gate passed; 0.835, 0.668, 0.571, 0.669, \
 0.592, and 0.653, 0.669, 0.696 in three plays of trouble-3 (0.665, 0.685 on afae89a) |
 | busiest router's control bytes at 89 / 195 / 370 routers, virtual clock | 7 KB/s | \
-7.4 / 8.2 / 26 KB/s (370 before the last change) |
+7.5 / 7.9 / 26 KB/s (370 not run since heartbeats contain other zones' routers) |
 | a change known everywhere, 195 routers, one datagram of ten lost, virtual clock | \
 1 s at p99 | 0.56 s |
 | processor time for control | 1.9 % of a core | not measured by itself; start and \
