--- a/packages/fleet/src/teaselledge_fleet/process/metrics.py
+++ b/packages/fleet/src/teaselledge_fleet/process/metrics.py
@@ -137,7 +137,8 @@
         "counter",
         "tokens",
         "Tokens of this router's requests, as shares count them: all, those shed before"
-        " placing, declined for want of room, allocated, and started.",
+        " placing, declined for want of room, allocated, returned as no endpoint began"
+        " them, and started.",
         ("organisation", "use"),
     ),
 }
