--- a/packages/fleet/tests/test_connectionshares.py
+++ b/packages/fleet/tests/test_connectionshares.py
@@ -1,6 +1,7 @@
 """Tests of organisations whose callers connect to a router that another one floods."""
 
 import asyncio
+import math
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import replace
@@ -96,6 +97,16 @@
         assert served <= 20
 
 
+async def test_served_connections_do_not_count_in_samples_of_refused_ones():
+    """Organisations that a full router serves would seem to request twice as much."""
+    async with full_router() as router:
+        acceptor = router.router._front.acceptor
+        acceptor._sampled_at = math.inf
+        before = acceptor._unsampled
+        served = await count_served(router, "ks")
+        assert acceptor._unsampled - before == SAMPLES - served < SAMPLES
+
+
 async def test_unknown_callers_are_refused_by_a_full_router():
     async with full_router() as router:
         assert (await send(router.port, "other")).status == 503
--- a/packages/fleet/tests/test_placing.py
+++ b/packages/fleet/tests/test_placing.py
@@ -515,11 +515,15 @@
         placed = await harness.placer.place(context)
         harness.placer.on_attempt_ended(context, placed.ok.endpoint, outcome)
         assert shares.local() == {}
-    placed = await harness.placer.place(context)
-    harness.placer.on_response_started(context, placed.ok.endpoint)
-    harness.placer.on_attempt_ended(context, placed.ok.endpoint, Outcome.LOST)
-    (usage,) = shares.local().values()
-    assert usage.allocated >= 16_700
+    # sent before, resumed after the first event: once in all
+    context.send_count = 1
+    for first_event_at in (None, 1.0):
+        context.first_event_at = first_event_at
+        placed = await harness.placer.place(context)
+        harness.placer.on_response_started(context, placed.ok.endpoint)
+        harness.placer.on_attempt_ended(context, placed.ok.endpoint, Outcome.LOST)
+        (usage,) = shares.local().values()
+        assert 16_700 <= usage.allocated < 2 * 16_700
 
 
 async def test_cached_prefixes_do_not_use_up_the_guaranteed_rate():
