--- a/packages/fleet/src/teaselledge_fleet/connection/accepting.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/accepting.py
@@ -169,6 +169,16 @@
         """Number of responses to relayed connections, by result."""
         return self._relays.results
 
+    @property
+    def abandoned(self) -> int:
+        """Number of refused connections whose caller had left before."""
+        return self._shedder.abandoned
+
+    @property
+    def relays_abandoned(self) -> int:
+        """Number of relayed connections whose caller left before a response."""
+        return self._relays.abandoned
+
     @property
     def active_relays(self) -> int:
         """Number of connections being relayed."""
--- a/packages/fleet/src/teaselledge_fleet/connection/refusing.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/refusing.py
@@ -52,6 +52,8 @@
     ----------
     refused : int
         Number of connections refused so far.
+    abandoned : int
+        Number of them whose caller had left before the response.
     is_entitled : callable
         Returns whether the organisation of a key is owed a connection nevertheless.
     serve : callable
@@ -66,6 +68,7 @@
         self._refused: deque[_RefusedConnection] = deque()
         self._close_timer: asyncio.TimerHandle | None = None
         self.refused = 0
+        self.abandoned = 0
         self.is_entitled: Callable[[str], bool] = lambda key: False
         self.serve: Callable[[socket.socket, Any], None] = lambda connection, address: (
             None
@@ -97,7 +100,11 @@
         """Answer or hand over a request that has arrived; return False if none has."""
         connection = waiting.connection
         try:
-            key = bearer_key(connection.recv(HEAD_BYTES, socket.MSG_PEEK))
+            head = connection.recv(HEAD_BYTES, socket.MSG_PEEK)
+            if not head:
+                self.abandoned += 1
+                return True
+            key = bearer_key(head)
             if key is not None and self.is_entitled(key):
                 self._hand_over(waiting)
                 return True
@@ -107,7 +114,7 @@
         except BlockingIOError:
             return False
         except OSError:
-            # the caller has disconnected
+            self.abandoned += 1
             return True
         return True
 
--- a/packages/fleet/src/teaselledge_fleet/connection/relay.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/relay.py
@@ -88,6 +88,8 @@
     ----------
     results : Counter of RelayResult
         Number of responses so far, by result.
+    abandoned : int
+        Number of relays whose caller disconnected before any response.
     on_relay_refused : callable
         Called when the other router has no capacity for the request.
     """
@@ -96,6 +98,7 @@
         self._idle_seconds = idle_seconds
         self._relays: set[_Relay] = set()
         self.results: Counter[RelayResult] = Counter()
+        self.abandoned = 0
         self.on_relay_refused: Callable[[], None] = lambda: None
 
     @property
@@ -130,7 +133,7 @@
         """
         loop = asyncio.get_running_loop()
         host, _, port = address.rpartition(":")
-        relay = _Relay(self._relays, self._record_result)
+        relay = _Relay(self._relays, self._record_result, self._record_abandoned)
         try:
             async with asyncio.timeout(CONNECT_SECONDS):
                 await loop.create_connection(lambda: relay.router, host, int(port))
@@ -141,6 +144,7 @@
             await loop.connect_accepted_socket(lambda: relay.caller, connection)
         except OSError:
             # the caller has disconnected meanwhile
+            self._record_abandoned()
             relay.abort()
             connection.close()
             return True
@@ -152,6 +156,9 @@
         if result is RelayResult.REFUSED_BY_ROUTER:
             self.on_relay_refused()
 
+    def _record_abandoned(self) -> None:
+        self.abandoned += 1
+
     def close(self) -> None:
         """Abort all connections."""
         for relay in list(self._relays):
@@ -162,10 +169,14 @@
     """A caller's connection, and the connection to the router that serves it."""
 
     def __init__(
-        self, relays: "set[_Relay]", on_response: Callable[[RelayResult], None]
+        self,
+        relays: "set[_Relay]",
+        on_response: Callable[[RelayResult], None],
+        on_abandoned: Callable[[], None],
     ) -> None:
         self._relays = relays
         self._on_response = on_response
+        self._on_abandoned = on_abandoned
         self._responded = False
         self._idle_timer: asyncio.TimerHandle | None = None
         self.closed = False
@@ -208,6 +219,8 @@
         otherwise the caller's connection is aborted, so that an incomplete response
         does not look complete.
         """
+        if side is self.caller and not self.closed and not self._responded:
+            self._on_abandoned()
         self.closed = True
         self._relays.discard(self)
         if self._idle_timer is not None:
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -11,6 +11,7 @@
 from teaselledge_fleet.connection.pages import Page, PageServer
 from teaselledge_fleet.connection.peers import STATE_PATH, PeerSocket
 from teaselledge_fleet.connection.pool import ConnectionPool
+from teaselledge_fleet.connection.relay import RelayResult
 from teaselledge_fleet.log import get_log
 from teaselledge_fleet.process.addresses import RegionCoverage, addresses_for
 from teaselledge_fleet.process.admission import AdmissionController
@@ -18,6 +19,7 @@
 from teaselledge_fleet.process.budget import RetryBudget, RetryLimits
 from teaselledge_fleet.process.busyness import EventLoopMonitor
 from teaselledge_fleet.process.connectionlimit import ConnectionLimit
+from teaselledge_fleet.process.connectionlog import ConnectionCounts, ConnectionLog
 from teaselledge_fleet.process.connectionshares import ConnectionShares
 from teaselledge_fleet.process.coordinators import Coordinators
 from teaselledge_fleet.process.gossip import Gossip
@@ -30,6 +32,7 @@
 from teaselledge_fleet.process.placing import FleetPlacer
 from teaselledge_fleet.process.registration import Registration
 from teaselledge_fleet.process.settings import FleetSettings
+from teaselledge_fleet.process.sharelog import ShareLog
 from teaselledge_fleet.process.spillover import (
     RefusedFraction,
     ZoneSpillover,
@@ -153,18 +156,15 @@
             limits.idle_seconds,
         )
         self._front.reconnect_probability = lambda: self._event_loop.rebalance_fraction
-        acceptor = self._front.acceptor
-        acceptor.version = lambda: self._store_cache.version
         self._offloader = ConnectionOffloader(self._members)
         self._region_coverage = RegionCoverage(settings.zones)
         self._spillover = ZoneSpillover()
         self._refusals = RefusedFraction()
-        acceptor.choose_relay_target = self._choose_relay_target
         self._offload_limiter = OffloadLimiter()
-        acceptor.peers_have_capacity = lambda: self._offload_limiter.allowed
-        acceptor.on_relayed = self._record_offload
-        acceptor.on_relay_refused = self._offload_limiter.record_refusal
+        self._connect_acceptor()
         self._connection_limit = ConnectionLimit()
+        self._connection_log = ConnectionLog()
+        self._share_log = ShareLog(self._placer.shares)
         self._limit_connections()
         has_seeds = bool(settings.seeds) and own.peer_address not in settings.seeds
         self._store_poller = StorePoller(place.vm, store, self._store_cache, has_seeds)
@@ -279,6 +279,13 @@
         )
         limited = math.isfinite(self._connection_limit.limit)
         self._connection_limit.update(longest, utilisation, self._front.running)
+        self._share_log.update()
+        self._connection_log.update(
+            self._connection_counts(),
+            self._front.running,
+            self._connection_limit.limit,
+            utilisation,
+        )
         if limited == math.isfinite(self._connection_limit.limit):
             return
         # a warning, as an overloaded router drops lines of lower levels
@@ -290,6 +297,19 @@
             refused=self._front.acceptor.refused,
         )
 
+    def _connection_counts(self) -> ConnectionCounts:
+        acceptor = self._front.acceptor
+        results = acceptor.relay_results
+        return ConnectionCounts(
+            accepted=acceptor.accepted,
+            refused=acceptor.refused,
+            abandoned=acceptor.abandoned,
+            relayed=acceptor.relayed,
+            relays_abandoned=acceptor.relays_abandoned,
+            relays_refused=results[RelayResult.REFUSED_BY_ROUTER],
+            relays_served=results[RelayResult.SERVED],
+        )
+
     def _choose_relay_target(self) -> str | None:
         if self._server.leaving:
             # a connection offloaded now might not end before this router stops
@@ -348,6 +368,14 @@
                     version=routing.version,
                 )
 
+    def _connect_acceptor(self) -> None:
+        acceptor = self._front.acceptor
+        acceptor.version = lambda: self._store_cache.version
+        acceptor.choose_relay_target = self._choose_relay_target
+        acceptor.peers_have_capacity = lambda: self._offload_limiter.allowed
+        acceptor.on_relayed = self._record_offload
+        acceptor.on_relay_refused = self._offload_limiter.record_refusal
+
     def _limit_connections(self) -> None:
         """Limit connections, but for organisations with less than their share."""
         acceptor, shares = self._front.acceptor, ConnectionShares()
@@ -438,7 +466,7 @@
         shares = self._placer.shares
         level = shares.level
         metrics.set("share_level_tokens", level if math.isfinite(level) else -1.0)
-        metrics.set("least_served_ratio", shares.least_served_ratio)
+        metrics.set("least_served_ratio", shares.served_ratio.value)
         metrics.set("relaying_allowed", float(self._may_relay()))
         metrics.set("offload_candidates", len(self._offloader.candidates))
         acceptor = self._front.acceptor
--- a/packages/fleet/src/teaselledge_fleet/process/shares.py
+++ b/packages/fleet/src/teaselledge_fleet/process/shares.py
@@ -1,14 +1,20 @@
 """Fair shares of the engines' capacity for organisations."""
 
 from collections import defaultdict, deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import asdict, dataclass, field
 from enum import IntEnum
 
 from teaselledge_fleet.process.sources import StatsBySource
 from teaselledge_fleet.process.work import name_hash
 
-__all__ = ["OrganisationShares", "ShareStatus", "TokenUsage", "max_min_share"]
+__all__ = [
+    "OrganisationShares",
+    "ServedRatio",
+    "ShareStatus",
+    "TokenUsage",
+    "max_min_share",
+]
 
 WINDOW_SECONDS = 4.0
 """Length of the sliding window; fair shares are guaranteed over windows of 4 s."""
@@ -87,6 +93,24 @@
         return TokenUsage(max(0, self.requested - other.requested), allocated)
 
 
+@dataclass(frozen=True)
+class ServedRatio:
+    """The least served waiting organisation beside the best served one.
+
+    Attributes
+    ----------
+    value : float
+        Part of what it is due that the least served one got: of what it requested or
+        of what the best served one got, whichever is less. It is 1 if none waits.
+    least, best : int
+        Hashes of their names; 0 if none waits.
+    """
+
+    value: float = 1.0
+    least: int = 0
+    best: int = 0
+
+
 class _ComputedFraction:
     """Fraction of the requested tokens that engines compute, not having cached them."""
 
@@ -182,18 +206,14 @@
         self._fleet_usage: dict[int, TokenUsage] = {}
         self._least_used_share = 1.0
         """Part of its share that the least served waiting organisation has used."""
-        self._least_served_ratio = 1.0
+        self._served_ratio = ServedRatio()
         self._refreshed_at = -SAMPLE_INTERVAL_SECONDS
 
     @property
-    def least_served_ratio(self) -> float:
-        """Part of what it is due that the least served waiting organisation got.
-
-        Due is what it requested or what the best served one got, whichever is less. It
-        is 1 if none waits.
-        """
+    def served_ratio(self) -> ServedRatio:
+        """The least served waiting organisation beside the best served one."""
         self._refresh()
-        return self._least_served_ratio
+        return self._served_ratio
 
     @property
     def level(self) -> float:
@@ -295,8 +315,19 @@
 
     def usage(self, organisation: str) -> TokenUsage:
         """Return an organisation's usage of the whole fleet within the window."""
+        return self.usage_by_hash(self._hash_of(organisation))
+
+    def usage_by_hash(self, organisation_hash: int) -> TokenUsage:
+        """Return the usage of an organisation by the hash of its name."""
         self._refresh()
-        return self._fleet_usage.get(self._hash_of(organisation), TokenUsage())
+        return self._fleet_usage.get(organisation_hash, TokenUsage())
+
+    def local_name(self, organisation_hash: int) -> str | None:
+        """Return the name of an organisation if this router had requests of it."""
+        for name, known_hash in self._hash_by_name.items():
+            if known_hash == organisation_hash and known_hash in self._counters:
+                return name
+        return None
 
     def totals(self) -> dict[tuple[str, ...], float]:
         """Return this router's tokens since its start, by organisation and use."""
@@ -339,17 +370,15 @@
         self._guaranteed_level = max_min_share(requested, min(allocated, guaranteed))
         self._allocated_level = max_min_share(requested, allocated)
         min_deficit = self._guaranteed_level * MIN_DEFICIT_FRACTION
-        waiting = [
-            usage
-            for usage in fleet_usage.values()
+        waiting = {
+            organisation_hash: usage
+            for organisation_hash, usage in fleet_usage.items()
             if usage.requested - usage.allocated > min_deficit
-        ]
-        self._least_used_share = min(map(self._used_share, waiting), default=1.0)
-        best = max((usage.allocated for usage in fleet_usage.values()), default=0)
-        self._least_served_ratio = min(
-            (usage.allocated / max(1, min(usage.requested, best)) for usage in waiting),
-            default=1.0,
+        }
+        self._least_used_share = min(
+            map(self._used_share, waiting.values()), default=1.0
         )
+        self._served_ratio = _served_ratio(waiting, fleet_usage)
 
     def _used_share(self, usage: TokenUsage) -> float:
         """Return the part of its share that an organisation has used, 0 to 1."""
@@ -373,3 +402,19 @@
                 organisation
             )
         return organisation_hash
+
+
+def _served_ratio(
+    waiting: Mapping[int, TokenUsage], fleet_usage: Mapping[int, TokenUsage]
+) -> ServedRatio:
+    if not waiting:
+        return ServedRatio()
+    best = max(fleet_usage, key=lambda key: fleet_usage[key].allocated)
+    best_allocated = fleet_usage[best].allocated
+    ratios = {
+        organisation_hash: usage.allocated
+        / max(1, min(usage.requested, best_allocated))
+        for organisation_hash, usage in waiting.items()
+    }
+    least = min(ratios, key=lambda key: ratios[key])
+    return ServedRatio(ratios[least], least, best)
