--- a/packages/fleet/tests/test_relay.py
+++ b/packages/fleet/tests/test_relay.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import socket
+import time
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
 from expression import Error, Result
 from teaselledge_fleet.connection.relay import (
+    CONNECT_SECONDS,
     RelayPool,
     RelayResult,
     preface,
@@ -191,6 +193,30 @@
         assert (result is RelayResult.SERVED) == (status not in (429, 503)), kind
 
 
+@asynccontextmanager
+async def late_event_loop():
+    """Make each iteration of the event loop take longer than a connect may."""
+
+    async def block() -> None:
+        while True:
+            time.sleep(1.2 * CONNECT_SECONDS)  # noqa: ASYNC251
+            await asyncio.sleep(0)
+
+    task = asyncio.create_task(block())
+    yield
+    task.cancel()
+
+
+async def test_connections_are_relayed_though_the_own_event_loop_is_late(pair):
+    """A router that took its own delay for a dead neighbour served them itself."""
+    async with late_event_loop():
+        responses = await asyncio.gather(
+            *(send_request(pair.overloaded.port) for _ in range(5))
+        )
+    assert [response.status for response in responses] == [200] * 5
+    assert pair.overloaded.router._front.acceptor.relayed == 5
+
+
 async def test_router_that_shuts_down_relays_nothing(pair):
     """A relayed request would be cut off when this router stops."""
     pair.overloaded.router._server.leaving = True
--- a/packages/fleet/tests/test_waiting.py
+++ b/packages/fleet/tests/test_waiting.py
@@ -85,6 +85,22 @@
         assert abs(at_once - later - 0.1) < 1e-9
 
 
+def test_inside_its_share_a_prompt_may_wait_as_long_as_over_it():
+    """Queries left an organisation inside its share less time than one far over it."""
+    limits = wait_limits()
+    for elapsed in (0.0, 0.05, 0.1, 0.2, 0.4):
+        over = limits.max_wait(DOSSIER, "books", ShareStatus.OVER, elapsed=elapsed)
+        for use in (0.0, 0.5, 1.0):
+            inside = limits.max_wait(
+                DOSSIER,
+                "books",
+                ShareStatus.INSIDE,
+                elapsed=elapsed,
+                contended_use=use,
+            )
+            assert inside >= over, (elapsed, use)
+
+
 def test_organisations_over_their_share_have_a_shorter_limit():
     assert (
         wait_limits().max_wait(DOSSIER, "books", ShareStatus.OVER)
