--- a/packages/fleet/src/teaselledge_fleet/connection/relay.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/relay.py
@@ -132,11 +132,10 @@
             connection then.
         """
         loop = asyncio.get_running_loop()
-        host, _, port = address.rpartition(":")
         relay = _Relay(self._relays, self._record_result, self._record_abandoned)
         try:
-            async with asyncio.timeout(CONNECT_SECONDS):
-                await loop.create_connection(lambda: relay.router, host, int(port))
+            router_socket = await _connect(address)
+            await loop.create_connection(lambda: relay.router, sock=router_socket)
         except (OSError, TimeoutError):
             return False
         relay.router.write(preface_line)
@@ -165,6 +164,36 @@
             relay.abort()
 
 
+async def _connect(address: str) -> socket.socket:
+    """Connect to a router.
+
+    A connection counts as made if it is when its timeout is noticed: a late event loop
+    finds both at once.
+    """
+    host, _, port = address.rpartition(":")
+    connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    connection.setblocking(False)
+    try:
+        async with asyncio.timeout(CONNECT_SECONDS):
+            await asyncio.get_running_loop().sock_connect(connection, (host, int(port)))
+    except TimeoutError:
+        if not _is_connected(connection):
+            connection.close()
+            raise
+    except BaseException:
+        connection.close()
+        raise
+    return connection
+
+
+def _is_connected(connection: socket.socket) -> bool:
+    try:
+        connection.getpeername()
+    except OSError:
+        return False
+    return True
+
+
 class _Relay:
     """A caller's connection, and the connection to the router that serves it."""
 
