Count the time of queries alike inside and over the share (FAIR)

What callers saw: sese932 was refused over capacity inside its share (0.53 to 0.93 of its level, within 4 s 1.9 to 2.2 of 5.5 to 12.2 million tokens), while lony120 was admitted at twice its level and more.

Cause: the limit on waiting falls inside the share by up to 0.7 with its use, and the time of queries (40 to 100 ms for replies of another region) was then taken off it. Over the share that time was not taken off. With a use of 0.9 and 50 ms of queries a prompt inside its share may wait 0.09 s or less, and one over it 0.09 s (objective 0.6 s).

Change: in both cases the time counts towards the limit without reduction.

Why it holds: for any time and use the limit inside the share is not below the one over it.

--- a/packages/fleet/src/teaselledge_fleet/process/waiting.py
+++ b/packages/fleet/src/teaselledge_fleet/process/waiting.py
@@ -103,9 +103,10 @@
             shortest objective of the service's routes; here the request may wait by its
             own, since another engine would have to copy or compute the prefix.
         elapsed : float
-            Seconds since its arrival. Over the share they only count towards the limit
-            of requests inside it: queries to another region take as long as the short
-            limit, and the organisation would be refused while engines are idle.
+            Seconds since its arrival. Unless it is ahead, they count towards the limit
+            of requests inside the share without reduction: queries to another region
+            take as long as a short limit. Over the share a request would be refused
+            while engines are idle, and inside it before one over the share.
         contended_use : float
             Part of its share that its organisation has used while another one that has
             used less waits; it counts inside the share.
@@ -118,6 +119,6 @@
         limit = objective * WAIT_FRACTION_BY_STATUS[share_status]
         if share_status is ShareStatus.INSIDE:
             limit *= 1.0 - MAX_USE_REDUCTION * contended_use
-        if share_status is ShareStatus.OVER:
-            return min(limit, objective * WAIT_FRACTION - elapsed)
-        return limit - elapsed
+        if share_status is ShareStatus.AHEAD:
+            return limit - elapsed
+        return min(limit, objective * WAIT_FRACTION - elapsed)
