Let the limit over the share fall with the excess (FAIR)

Cause: an organisation over its share may wait for 0.15 of the objective, whether it has 1.1 or 2.5 times its level. Each of its attempts finds the same queues, so engines go to whoever has the most attempts: lony120 tried 46 to 50 million tokens in 4 s, sese932 6 to 12. Which of the two has more depends on how many attempts the router of either lets through. Shares bounded nothing above the level.

Ruled out: the units (both send the same mix); other levels at other routers (all routers log the same level, within a tenth).

Change: the limit over the share is divided by the square of the multiple of its level that an organisation has. At twice its share it may wait for 0.04 of the objective, so it leaves queues to the others and still uses idle engines.

Why it holds: what one has beyond its share makes each of its attempts less likely, so more attempts no longer keep it ahead.

--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -387,6 +387,7 @@
             candidate.has_prefix,
             self._now() - context.arrived_at,
             self._shares.contended_use(context.organisation_name),
+            self._shares.excess(context.organisation_name),
         )
         return limit - self._distance.congestion_seconds(candidate.endpoint.zone)
 
@@ -602,6 +603,7 @@
             "allocated": usage.allocated,
             "share_level": round(level) if math.isfinite(level) else None,
             "contended_use": round(self._shares.contended_use(organisation), 2),
+            "excess": round(self._shares.excess(organisation), 2),
         }
 
     def _log_fields(self, best: Candidate) -> dict[str, float]:
--- a/packages/fleet/src/teaselledge_fleet/process/shares.py
+++ b/packages/fleet/src/teaselledge_fleet/process/shares.py
@@ -302,6 +302,16 @@
         used_share = self._used_share(self.usage(organisation))
         return used_share if used_share > self._least_used_share else 0.0
 
+    def excess(self, organisation: str) -> float:
+        """Return the multiple that an organisation has of its share of all tokens.
+
+        It is 1 for one that is within it.
+        """
+        allocated = self.usage(organisation).allocated
+        if allocated <= self._allocated_level:
+            return 1.0
+        return allocated / self._allocated_level
+
     def seconds_until_within_share(self, organisation: str) -> float:
         """Return the seconds until an organisation is inside its share.
 
--- a/packages/fleet/src/teaselledge_fleet/process/waiting.py
+++ b/packages/fleet/src/teaselledge_fleet/process/waiting.py
@@ -36,6 +36,12 @@
 requests.
 """
 
+EXCESS_EXPONENT = 2
+"""Exponent with which the limit over the share falls with the excess over it.
+
+Engines otherwise go to the organisation with the most attempts: each finds the same
+queue, whether it has a little more than its share or a multiple of it."""
+
 MAX_USE_REDUCTION = 0.7
 """Reduction of the limit for an organisation that has used its whole share while
 another one that has used less waits.
@@ -87,6 +93,7 @@
         has_prefix: bool = False,
         elapsed: float = 0.0,
         contended_use: float = 0.0,
+        excess: float = 1.0,
     ) -> float:
         """Return the maximum queueing time of a request at an engine, in seconds.
 
@@ -110,6 +117,8 @@
         contended_use : float
             Part of its share that its organisation has used while another one that has
             used less waits; it counts inside the share.
+        excess : float
+            Multiple of its share that its organisation has; it counts over the share.
         """
         objective = route.latency_objective
         if not has_prefix:
@@ -119,6 +128,8 @@
         limit = objective * WAIT_FRACTION_BY_STATUS[share_status]
         if share_status is ShareStatus.INSIDE:
             limit *= 1.0 - MAX_USE_REDUCTION * contended_use
+        else:
+            limit /= max(1.0, excess) ** EXCESS_EXPONENT
         if share_status is ShareStatus.AHEAD:
             return limit - elapsed
         return min(limit, objective * WAIT_FRACTION - elapsed)
--- a/packages/fleet/tests/test_heavy_load.py
+++ b/packages/fleet/tests/test_heavy_load.py
@@ -36,6 +36,7 @@
         has_prefix: bool = False,
         elapsed: float = 0.0,
         contended_use: float = 0.0,
+        excess: float = 1.0,
     ) -> float:
         """Return the limit of engines without the prefix."""
         return super().max_wait(
@@ -44,6 +45,7 @@
             share_status,
             elapsed=elapsed,
             contended_use=contended_use,
+            excess=excess,
         )
 
 
--- a/packages/fleet/tests/test_shares.py
+++ b/packages/fleet/tests/test_shares.py
@@ -47,6 +47,16 @@
     assert not shares.is_over_share("c", 1.0)
 
 
+async def test_the_excess_over_a_share_is_its_multiple():
+    """Two floods over their share are told apart by how much they have."""
+    shares = OrganisationShares()
+    requested = {"a": 5000, "b": 5000, "c": 100}
+    allocated = {"a": 700, "b": 200, "c": 100}
+    await record_usage(shares, 6, requested, allocated)
+    assert abs(shares.excess("a") - 700 / 450) < 0.05
+    assert shares.excess("b") == shares.excess("c") == 1.0
+
+
 async def test_usage_at_other_routers_counts():
     local, remote = OrganisationShares(), OrganisationShares()
     for _ in range(60):
--- a/packages/fleet/tests/test_waiting.py
+++ b/packages/fleet/tests/test_waiting.py
@@ -108,6 +108,19 @@
     )
 
 
+def test_the_limit_over_the_share_falls_with_the_excess():
+    """The organisation with most attempts got 2.5 times its share, another one half."""
+    limits = wait_limits()
+    for status in (ShareStatus.OVER, ShareStatus.AHEAD):
+        waits = [
+            limits.max_wait(DOSSIER, "books", status, excess=excess)
+            for excess in (1.0, 1.5, 2.0, 3.0)
+        ]
+        assert waits == sorted(waits, reverse=True)
+        # at twice its share it leaves the queues to the others, but uses idle engines
+        assert 0 < waits[2] < waits[0] / 2
+
+
 def test_an_unknown_service_is_limited_by_the_routes_own_objective():
     """A traffic split names a service that a newer configuration has added."""
     assert (
