--- a/packages/fleet/src/teaselledge_fleet/connection/relay.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/relay.py
@@ -141,11 +141,10 @@
             self._relays, self._buffer, self._record_result, self._record_abandoned
         )
         try:
-            router_socket = await _connect(address)
+            router_socket = await _connect(address, preface_line)
             await loop.create_connection(lambda: relay.router, sock=router_socket)
         except (OSError, TimeoutError):
             return False
-        relay.router.write(preface_line)
         try:
             await loop.connect_accepted_socket(lambda: relay.caller, connection)
         except OSError:
@@ -171,22 +170,26 @@
             relay.abort()
 
 
-async def _connect(address: str) -> socket.socket:
-    """Connect to a router.
+async def _connect(address: str, preface_line: bytes) -> socket.socket:
+    """Connect to a router and send it the preface.
 
     A connection counts as made if it is when its timeout is noticed: a late event loop
-    finds both at once.
+    finds both at once. The router waits for the preface for a limited time, so it is
+    sent before anything that takes further iterations.
     """
     host, _, port = address.rpartition(":")
     connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     connection.setblocking(False)
     try:
-        async with asyncio.timeout(CONNECT_SECONDS):
-            await asyncio.get_running_loop().sock_connect(connection, (host, int(port)))
-    except TimeoutError:
-        if not _is_connected(connection):
-            connection.close()
-            raise
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                await asyncio.get_running_loop().sock_connect(
+                    connection, (host, int(port))
+                )
+        except TimeoutError:
+            if not _is_connected(connection):
+                raise
+        connection.send(preface_line)
     except BaseException:
         connection.close()
         raise
--- a/packages/fleet/tests/test_relay.py
+++ b/packages/fleet/tests/test_relay.py
@@ -8,9 +8,11 @@
 from dataclasses import dataclass
 
 from expression import Error, Result
+from teaselledge_fleet.connection.accepting import PREFACE_SECONDS
 from teaselledge_fleet.connection.relay import (
     BUFFER_BYTES,
     CONNECT_SECONDS,
+    PREFACE_BYTES,
     RelayPool,
     RelayResult,
     preface,
@@ -196,12 +198,12 @@
 
 
 @asynccontextmanager
-async def late_event_loop():
-    """Make each iteration of the event loop take longer than a connect may."""
+async def late_event_loop(iteration_seconds: float = 1.2 * CONNECT_SECONDS):
+    """Make iterations of the event loop long, by default longer than a connect may."""
 
     async def block() -> None:
         while True:
-            time.sleep(1.2 * CONNECT_SECONDS)  # noqa: ASYNC251
+            time.sleep(iteration_seconds)  # noqa: ASYNC251
             await asyncio.sleep(0)
 
     task = asyncio.create_task(block())
@@ -226,6 +228,31 @@
     assert pair.overloaded.router._front.acceptor.relayed == 0
 
 
+def seconds_until_preface(listening: socket.socket) -> float:
+    """Accept a connection; return the time that its preface takes."""
+    accepted, _ = listening.accept()
+    accepted_at = time.monotonic()
+    with accepted:
+        assert accepted.recv(PREFACE_BYTES) == preface(1)
+    return time.monotonic() - accepted_at
+
+
+async def test_the_preface_is_sent_in_time_though_the_own_event_loop_is_late():
+    """The neighbour closed the connection, and the caller got no response."""
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        host, port = listening.getsockname()
+        received = asyncio.create_task(
+            asyncio.to_thread(seconds_until_preface, listening)
+        )
+        relayed_end, caller_end = socket.socketpair()
+        pool = RelayPool(10.0)
+        async with late_event_loop(0.3 * PREFACE_SECONDS):
+            assert await pool.relay(relayed_end, f"{host}:{port}", preface(1))
+        assert await received < PREFACE_SECONDS
+        pool.close()
+        caller_end.close()
+
+
 async def test_relaying_an_event_allocates_no_large_buffer():
     """Allocating one for each event took much of a flooded router's time."""
     with socket.create_server(("127.0.0.1", 0)) as listening:
