--- a/packages/fleet/src/teaselledge_fleet/connection/endpoint.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/endpoint.py
@@ -10,6 +10,7 @@
 from expression import Error, Ok, Result
 from tornado.iostream import IOStream, StreamClosedError
 
+from teaselledge_fleet.connection.connecting import connect
 from teaselledge_fleet.request.call import CallerRequest, HeaderCodec, ResponseHead
 
 __all__ = [
@@ -327,21 +328,14 @@
     @classmethod
     async def open(cls, address: str) -> "Result[EndpointConnection, SendFailure]":
         """Connect to an endpoint."""
-        host, _, port = address.rpartition(":")
-        stream = IOStream(_create_socket())
+        connection = _create_socket()
         try:
-            async with asyncio.timeout(CONNECT_SECONDS):
-                await stream.connect((host, int(port)))
+            await connect(connection, address, CONNECT_SECONDS)
         except (OSError, TimeoutError, ValueError) as error:
-            stream.close()
-            cause = getattr(error, "real_error", None) or error
-            refused = isinstance(cause, ConnectionRefusedError)
+            refused = isinstance(error, ConnectionRefusedError)
             fault = SendFault.REFUSED if refused else SendFault.UNREACHABLE
             return Error(SendFailure(fault, False))
-        except asyncio.CancelledError:
-            stream.close()
-            raise
-        return Ok(cls(stream, address))
+        return Ok(cls(IOStream(connection), address))
 
     def send_request(
         self,
--- a/packages/fleet/src/teaselledge_fleet/connection/relay.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/relay.py
@@ -8,6 +8,7 @@
 from enum import Enum
 from typing import cast
 
+from teaselledge_fleet.connection.connecting import connect
 from teaselledge_fleet.faults import ROUTER_FAULTS
 
 __all__ = ["PREFACE_BYTES", "RelayPool", "RelayResult", "preface", "read_preface"]
@@ -173,37 +174,20 @@
 async def _connect(address: str, preface_line: bytes) -> socket.socket:
     """Connect to a router and send it the preface.
 
-    A connection counts as made if it is when its timeout is noticed: a late event loop
-    finds both at once. The router waits for the preface for a limited time, so it is
-    sent before anything that takes further iterations.
+    The router waits for the preface for a limited time, so it is sent before anything
+    that takes further iterations of the event loop.
     """
-    host, _, port = address.rpartition(":")
     connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     connection.setblocking(False)
+    await connect(connection, address, CONNECT_SECONDS)
     try:
-        try:
-            async with asyncio.timeout(CONNECT_SECONDS):
-                await asyncio.get_running_loop().sock_connect(
-                    connection, (host, int(port))
-                )
-        except TimeoutError:
-            if not _is_connected(connection):
-                raise
         connection.send(preface_line)
-    except BaseException:
+    except OSError:
         connection.close()
         raise
     return connection
 
 
-def _is_connected(connection: socket.socket) -> bool:
-    try:
-        connection.getpeername()
-    except OSError:
-        return False
-    return True
-
-
 class _Relay:
     """A caller's connection, and the connection to the router that serves it."""
 
