--- a/packages/fleet/src/teaselledge_fleet/connection/accepting.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/accepting.py
@@ -145,6 +145,7 @@
         self.relayed = 0
         self.sampled = 0
         self.refusal_causes: Counter[str] = Counter()
+        self._loop = asyncio.get_running_loop()
         self._sampled_at = -SAMPLE_INTERVAL_SECONDS
         self._unsampled = 0
         """Connections refused unread since the last sample."""
@@ -243,7 +244,7 @@
         the connections that were refused unread since the one before.
         """
         self._unsampled += 1
-        now = asyncio.get_running_loop().time()
+        now = self._loop.time()
         if (
             self._unsampled < REFUSALS_PER_SAMPLE
             or now - self._sampled_at < SAMPLE_INTERVAL_SECONDS
--- a/packages/fleet/src/teaselledge_fleet/connection/refusing.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/refusing.py
@@ -42,6 +42,9 @@
 class LoadShedder:
     """Refuses connections without parsing their requests.
 
+    A flooded router refuses thousands a second, so each takes as few system calls as
+    possible.
+
     Parameters
     ----------
     responses : sequence of bytes
@@ -67,6 +70,7 @@
         """Connections that are served and must not be closed here."""
         self._refused: deque[_RefusedConnection] = deque()
         self._close_timer: asyncio.TimerHandle | None = None
+        self._loop = asyncio.get_running_loop()
         self.refused = 0
         self.abandoned = 0
         self.is_entitled: Callable[[str], bool] = lambda key: False
@@ -77,7 +81,6 @@
     def refuse(self, connection: socket.socket, address: Any = None) -> None:
         """Respond as soon as a request arrives, and close the connection later."""
         self.refused += 1
-        connection.setblocking(False)
         self._schedule_close(connection)
         waiting = _WaitingConnection(connection, address)
         if not self._try_respond(waiting):
@@ -100,7 +103,7 @@
         """Answer or hand over a request that has arrived; return False if none has."""
         connection = waiting.connection
         try:
-            head = connection.recv(HEAD_BYTES, socket.MSG_PEEK)
+            head = connection.recv(HEAD_BYTES, socket.MSG_PEEK | socket.MSG_DONTWAIT)
             if not head:
                 self.abandoned += 1
                 return True
@@ -108,9 +111,8 @@
             if key is not None and self.is_entitled(key):
                 self._hand_over(waiting)
                 return True
-            connection.recv(READ_BYTES)
-            connection.send(random.choice(self._responses))
-            connection.shutdown(socket.SHUT_WR)
+            connection.recv(READ_BYTES, socket.MSG_DONTWAIT)
+            connection.send(random.choice(self._responses), socket.MSG_DONTWAIT)
         except BlockingIOError:
             return False
         except OSError:
@@ -124,32 +126,28 @@
         self.serve(waiting.connection, waiting.address)
 
     def _schedule_close(self, connection: socket.socket) -> None:
-        loop = asyncio.get_running_loop()
-        self._refused.append(_RefusedConnection(loop.time(), connection))
+        self._refused.append(_RefusedConnection(self._loop.time(), connection))
         if self._close_timer is None:
-            self._close_timer = loop.call_later(
+            self._close_timer = self._loop.call_later(
                 CLOSE_DELAY_SECONDS, self._close_expired
             )
 
     def _close_expired(self) -> None:
-        loop = asyncio.get_running_loop()
-        refused_before = loop.time() - CLOSE_DELAY_SECONDS
+        refused_before = self._loop.time() - CLOSE_DELAY_SECONDS
         while self._refused and self._refused[0].refused_at <= refused_before:
             self._close(self._refused.popleft().connection)
         self._close_timer = None
         if self._refused:
             remaining = self._refused[0].refused_at - refused_before
-            self._close_timer = loop.call_later(remaining, self._close_expired)
+            self._close_timer = self._loop.call_later(remaining, self._close_expired)
 
     def _add_reader(self, waiting: _WaitingConnection) -> None:
         self._waiting.add(waiting.connection)
-        asyncio.get_running_loop().add_reader(
-            waiting.connection, self._on_readable, waiting
-        )
+        self._loop.add_reader(waiting.connection, self._on_readable, waiting)
 
     def _remove_reader(self, connection: socket.socket) -> None:
         self._waiting.discard(connection)
-        asyncio.get_running_loop().remove_reader(connection)
+        self._loop.remove_reader(connection)
 
     def _close(self, connection: socket.socket) -> None:
         if connection in self._handed_over:
--- a/packages/fleet/tests/test_refusing.py
+++ b/packages/fleet/tests/test_refusing.py
@@ -3,12 +3,14 @@
 import asyncio
 import json
 import math
+import socket
+from collections import Counter
 
 from teaselledge_fleet.connection.accepting import (
     REFUSALS_PER_SAMPLE,
     SAMPLE_INTERVAL_SECONDS,
 )
-from teaselledge_fleet.connection.refusing import _WaitingConnection
+from teaselledge_fleet.connection.refusing import LoadShedder, _WaitingConnection
 from teaselledge_fleet.version.routes import RetryPolicy
 from teaselledge_standins.routes import HOST, make_route, running_route, send_request
 from teaselledge_standins.scripted import (
@@ -74,6 +76,33 @@
         assert min(weights) >= REFUSALS_PER_SAMPLE
 
 
+class CountingSocket(socket.socket):
+    """Counts system calls by name."""
+
+    def __init__(self, *arguments, **options) -> None:
+        super().__init__(*arguments, **options)
+        self.calls = Counter()
+
+    def __getattribute__(self, name: str):
+        attribute = super().__getattribute__(name)
+        if name in ("recv", "send", "shutdown", "setblocking", "settimeout"):
+            self.calls[name] += 1
+        return attribute
+
+
+async def test_a_refusal_takes_three_system_calls():
+    """Refusing took the time in which a flooded router could relay."""
+    near, far = socket.socketpair()
+    refused = CountingSocket(fileno=near.detach())
+    far.send(b"GET /r/1 HTTP/1.1\r\n\r\n")
+    shedder = LoadShedder([b"HTTP/1.1 503 x\r\n\r\n"])
+    shedder.refuse(refused)
+    assert far.recv(100) == b"HTTP/1.1 503 x\r\n\r\n"
+    assert refused.calls == {"recv": 2, "send": 1}
+    shedder.close()
+    far.close()
+
+
 async def test_caller_that_sends_a_large_body_gets_the_response():
     """Closing a connection with unread bytes resets it and may lose the response."""
     async with running_route(make_route(RetryPolicy.NEVER)) as served:
