--- a/packages/fleet/src/teaselledge_fleet/connection/accepting.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/accepting.py
@@ -119,9 +119,11 @@
         serves it.
     peers_have_capacity : callable
         Returns whether other routers are expected to accept one more connection.
-    on_relayed, on_relay_refused : callable
-        Called for each relayed connection with its target's address, and for each
-        relayed connection that the target refuses.
+    on_relayed : callable
+        Called for each relayed connection with its target's address.
+    on_relay_refused : callable
+        Called with what `on_relayed` returned for each connection that the target
+        refuses.
     version : callable
         Returns the version of the configuration in force.
     has_capacity : callable
@@ -136,8 +138,8 @@
         self._serve = serve
         self.choose_relay_target: Callable[[], str | None] = lambda: None
         self.peers_have_capacity: Callable[[], bool] = lambda: True
-        self.on_relayed: Callable[[str], None] = lambda target: None
-        self.on_relay_refused: Callable[[], None] = lambda: None
+        self.on_relayed: Callable[[str], int] = lambda target: 0
+        self.on_relay_refused: Callable[[int], None] = lambda tick: None
         self.version: Callable[[], int] = lambda: 0
         self.has_capacity: Callable[[], bool] = lambda: True
         self.is_entitled: Callable[[str], bool] = lambda key: False
@@ -150,7 +152,6 @@
         self._unsampled = 0
         """Connections refused unread since the last sample."""
         self._relays = RelayPool(idle_seconds)
-        self._relays.on_relay_refused = lambda: self.on_relay_refused()
         self._shedder = LoadShedder(_encode_refusals())
         self._shedder.is_entitled = lambda key: self.is_entitled(key)
         self._shedder.serve = self._serve_entitled
@@ -234,8 +235,8 @@
             self.refusal_causes[OTHERS_REFUSE] += 1
             self._refuse(connection, address)
             return
-        self.on_relayed(target)
-        self._start(self._relay(connection, address, target))
+        tick = self.on_relayed(target)
+        self._start(self._relay(connection, address, target, tick))
 
     def _refuse(self, connection: socket.socket, address: Any) -> None:
         """Refuse a connection, in most cases without reading the request.
@@ -267,11 +268,13 @@
         self._serve(stream, address)
 
     async def _relay(
-        self, connection: socket.socket, address: Any, target: str
+        self, connection: socket.socket, address: Any, target: str, tick: int
     ) -> None:
         connection.setblocking(False)
         preface_line = preface(self.version())
-        if await self._relays.relay(connection, target, preface_line):
+        if await self._relays.relay(
+            connection, target, preface_line, lambda: self.on_relay_refused(tick)
+        ):
             self.relayed += 1
             return
         self._serve(IOStream(connection), address)
--- a/packages/fleet/src/teaselledge_fleet/connection/relay.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/relay.py
@@ -95,8 +95,6 @@
         Number of responses so far, by result.
     abandoned : int
         Number of relays whose caller disconnected before any response.
-    on_relay_refused : callable
-        Called when the other router has no capacity for the request.
     """
 
     def __init__(self, idle_seconds: float) -> None:
@@ -105,7 +103,6 @@
         self._buffer = memoryview(bytearray(BUFFER_BYTES))
         self.results: Counter[RelayResult] = Counter()
         self.abandoned = 0
-        self.on_relay_refused: Callable[[], None] = lambda: None
 
     @property
     def running(self) -> int:
@@ -118,7 +115,11 @@
         return len(self._relays) >= MAX_RELAYS
 
     async def relay(
-        self, connection: socket.socket, address: str, preface_line: bytes
+        self,
+        connection: socket.socket,
+        address: str,
+        preface_line: bytes,
+        on_refused: Callable[[], None] = lambda: None,
     ) -> bool:
         """Connect to a router, and forward the bytes of either side to the other.
 
@@ -130,6 +131,8 @@
             Address at which the other router accepts relayed connections.
         preface_line : bytes
             Sent before the caller's bytes.
+        on_refused : callable
+            Called if the other router has no capacity for the request.
 
         Returns
         -------
@@ -138,8 +141,14 @@
             connection then.
         """
         loop = asyncio.get_running_loop()
+
+        def record_result(result: RelayResult) -> None:
+            self.results[result] += 1
+            if result is RelayResult.REFUSED_BY_ROUTER:
+                on_refused()
+
         relay = _Relay(
-            self._relays, self._buffer, self._record_result, self._record_abandoned
+            self._relays, self._buffer, record_result, self._record_abandoned
         )
         try:
             router_socket = await _connect(address, preface_line)
@@ -157,11 +166,6 @@
         relay.start(self._idle_seconds)
         return True
 
-    def _record_result(self, result: RelayResult) -> None:
-        self.results[result] += 1
-        if result is RelayResult.REFUSED_BY_ROUTER:
-            self.on_relay_refused()
-
     def _record_abandoned(self) -> None:
         self.abandoned += 1
 
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -330,9 +330,9 @@
             return True
         return self._region_coverage.complete
 
-    def _record_offload(self, router: str) -> None:
-        self._offload_limiter.record_offload()
+    def _record_offload(self, router: str) -> int:
         self._offloader.record_offload(router)
+        return self._offload_limiter.record_offload()
 
     def _listen(self, address: str, handler: "object") -> None:
         server = PageServer(handler)  # type: ignore[arg-type]
--- a/packages/fleet/tests/test_passingrate.py
+++ b/packages/fleet/tests/test_passingrate.py
@@ -1,26 +1,32 @@
 """Tests of the limit of offloaded connections."""
 
+from collections import deque
+
 from teaselledge_fleet.process.passingrate import MIN_OFFLOADS, OffloadLimiter
 
 TICKS = 50
 
 
 def simulate(
-    limiter: OffloadLimiter, arrivals: int, capacity: int
+    limiter: OffloadLimiter, arrivals: int, capacity: int, delay_ticks: int = 0
 ) -> tuple[float, float]:
-    """Return the connections offloaded and accepted a tick, in the second half."""
+    """Return the connections offloaded and accepted a tick, in the second half.
+
+    Other routers refuse those beyond their capacity some ticks later.
+    """
     offloaded = accepted = 0
+    refusals: deque[list[int]] = deque([] for _ in range(delay_ticks))
     for tick in range(TICKS):
         limiter.start_tick()
-        offloaded_in_tick = 0
-        while offloaded_in_tick < arrivals and limiter.allowed:
-            limiter.record_offload()
-            offloaded_in_tick += 1
-        for _ in range(max(0, offloaded_in_tick - capacity)):
-            limiter.record_refusal()
+        ticks_of_offloads = []
+        while len(ticks_of_offloads) < arrivals and limiter.allowed:
+            ticks_of_offloads.append(limiter.record_offload())
+        refusals.append(ticks_of_offloads[capacity:])
+        for tick_number in refusals.popleft():
+            limiter.record_refusal(tick_number)
         if tick >= TICKS / 2:
-            offloaded += offloaded_in_tick
-            accepted += min(offloaded_in_tick, capacity)
+            offloaded += len(ticks_of_offloads)
+            accepted += min(len(ticks_of_offloads), capacity)
     return offloaded / (TICKS / 2), accepted / (TICKS / 2)
 
 
@@ -35,6 +41,13 @@
     assert offloaded < 3 * 20
 
 
+def test_others_are_used_though_their_refusals_arrive_late():
+    """Those of a burst stopped offloading for a second, and the next burst followed."""
+    offloaded, accepted = simulate(OffloadLimiter(), 130, 30, delay_ticks=2)
+    assert accepted > 0.9 * 30
+    assert offloaded < 3 * 30
+
+
 def test_the_limit_is_lifted_when_others_have_room_again():
     limiter = OffloadLimiter()
     offloaded, accepted = simulate(limiter, 100, 0)
--- a/packages/fleet/tests/test_relay.py
+++ b/packages/fleet/tests/test_relay.py
@@ -20,7 +20,7 @@
 )
 from teaselledge_fleet.faults import FAULT_RESPONSES, Fault, FaultKind, fault_body
 from teaselledge_fleet.process.endpoints import Endpoint
-from teaselledge_fleet.process.passingrate import OffloadLimiter
+from teaselledge_fleet.process.passingrate import RESPONSE_TICKS, OffloadLimiter
 from teaselledge_fleet.request.context import Placement, RequestContext
 from teaselledge_fleet.version.routes import RetryPolicy
 from teaselledge_standins.fleetrouters import RunningRouter, running_routers
@@ -161,7 +161,8 @@
     )
     for _ in range(REFUSED_REQUESTS):
         assert (await send_request(pair.overloaded.port)).status == 503
-    OffloadLimiter.start_tick(relay_rate)
+    for _ in range(RESPONSE_TICKS + 1):
+        OffloadLimiter.start_tick(relay_rate)
     relayed = overloaded._front.acceptor.relayed
     for _ in range(REFUSED_REQUESTS):
         assert (await send_request(pair.overloaded.port)).status == 503
@@ -180,7 +181,8 @@
     overloaded = pair.overloaded.router
     for _ in range(REFUSED_REQUESTS):
         assert (await send_request(pair.overloaded.port)).status == 429
-    OffloadLimiter.start_tick(overloaded._offload_limiter)
+    for _ in range(RESPONSE_TICKS + 1):
+        OffloadLimiter.start_tick(overloaded._offload_limiter)
     for _ in range(REFUSED_REQUESTS):
         assert (await send_request(pair.overloaded.port)).status == 429
     assert overloaded._front.acceptor.relayed == 2 * REFUSED_REQUESTS
