--- a/packages/fleet/src/teaselledge_fleet/process/busyness.py
+++ b/packages/fleet/src/teaselledge_fleet/process/busyness.py
@@ -190,6 +190,14 @@
         """
         return self._loop_utilisation
 
+    @property
+    def peak_utilisation(self) -> float:
+        """The utilisation, or that of the last tick if it is higher, 0 to 1.
+
+        It shows a flood at once, half a second before the average.
+        """
+        return max(self.utilisation, min(1.0, self._loop_utilisation / self._cores))
+
     @property
     def rebalance_fraction(self) -> float:
         """Fraction of connections that should move to other routers, 0 to 1."""
--- a/packages/fleet/src/teaselledge_fleet/process/offloading.py
+++ b/packages/fleet/src/teaselledge_fleet/process/offloading.py
@@ -39,8 +39,8 @@
     """Provides the utilisation of a router."""
 
     @property
-    def utilisation(self) -> float:
-        """Fraction of the CPU time that is used, 0 to 1."""
+    def peak_utilisation(self) -> float:
+        """Fraction of the CPU time that is used, 0 to 1, or lately if it is higher."""
 
 
 class ConnectionOffloader:
@@ -66,7 +66,7 @@
 
     def choose(self, source: UtilisationSource) -> str | None:
         """Return the relay address for a new connection; None to serve it here."""
-        offload_fraction = (source.utilisation - HIGH_UTILISATION) / (
+        offload_fraction = (source.peak_utilisation - HIGH_UTILISATION) / (
             FULL_OFFLOAD_UTILISATION - HIGH_UTILISATION
         )
         if offload_fraction <= 0.0 or random.random() >= offload_fraction:
--- a/packages/fleet/tests/test_busyness.py
+++ b/packages/fleet/tests/test_busyness.py
@@ -6,9 +6,11 @@
 
 from teaselledge_fleet.process.busyness import (
     BLOCKED_SECONDS,
+    HIGH_UTILISATION,
     LONG_ITERATION_SECONDS,
     MIN_LONG_ITERATIONS,
     RESPONSIVE_ITERATION_SECONDS,
+    TICK_SECONDS,
     EventLoopMonitor,
     new_monitored_loop,
 )
@@ -54,6 +56,16 @@
         runner.run(idle())
 
 
+def test_a_flood_shows_in_the_first_tick():
+    """For half a second a flooded router served all itself, and then refused them."""
+    monitor = EventLoopMonitor(0.5)
+    monitor._record_tick(TICK_SECONDS, 0.45 * TICK_SECONDS)
+    assert monitor.utilisation < HIGH_UTILISATION
+    assert monitor.peak_utilisation == 0.9
+    monitor._record_tick(TICK_SECONDS, 0.0)
+    assert monitor.peak_utilisation == monitor.utilisation
+
+
 def test_a_router_without_idle_time_has_a_high_utilisation():
     monitor = run_on_own_loop(0.05, 0.0)
     assert monitor.utilisation > 0.3
--- a/packages/fleet/tests/test_offloading.py
+++ b/packages/fleet/tests/test_offloading.py
@@ -21,7 +21,7 @@
 class FixedUtilisation:
     """A source with a fixed utilisation."""
 
-    utilisation: float
+    peak_utilisation: float
 
 
 def router(vm: str, zone: str = "z", **changes) -> Member:
--- a/packages/standins/src/teaselledge_standins/fleetrouters.py
+++ b/packages/standins/src/teaselledge_standins/fleetrouters.py
@@ -40,6 +40,7 @@
     recently_blocked: bool = False
     overloaded: bool = True
     utilisation: float = 1.0
+    peak_utilisation: float = 1.0
     rebalance_fraction: float = 1.0
     loop_utilisation: float = 0.0
 
