--- a/packages/fleet/src/teaselledge_fleet/process/offloading.py
+++ b/packages/fleet/src/teaselledge_fleet/process/offloading.py
@@ -20,6 +20,10 @@
 The rest of its CPU time is for the requests it has and for relaying.
 """
 
+MAX_CANDIDATE_UTILISATION = 0.8
+"""Utilisation up to which a router gets connections of others, in proportion to what
+it has left. It refuses those that it has no time for."""
+
 CANDIDATE_CACHE_SECONDS = 0.1
 """Time for which the candidates are cached.
 
@@ -79,7 +83,7 @@
 
     @property
     def candidates(self) -> list[Member]:
-        """The peers in the zone whose utilisation is not high."""
+        """The peers in the zone that have CPU time left."""
         now = asyncio.get_running_loop().time()
         if now - self._checked_at < CANDIDATE_CACHE_SECONDS:
             return self._candidates
@@ -93,7 +97,9 @@
         if zone_peers or now - self._peers_seen_at > CANDIDATE_TTL_SECONDS:
             self._peers_seen_at = now
             self._candidates = [
-                peer for peer in zone_peers if peer.utilisation < HIGH_UTILISATION
+                peer
+                for peer in zone_peers
+                if peer.utilisation < MAX_CANDIDATE_UTILISATION
             ]
         return self._candidates
 
--- a/packages/fleet/tests/test_offloading.py
+++ b/packages/fleet/tests/test_offloading.py
@@ -10,6 +10,7 @@
 from teaselledge_fleet.process.offloading import (
     CANDIDATE_TTL_SECONDS,
     FULL_OFFLOAD_UTILISATION,
+    MAX_CANDIDATE_UTILISATION,
     ConnectionOffloader,
 )
 
@@ -58,14 +59,21 @@
     assert choices["large:82"] > 3 * choices["small:82"]
 
 
-async def test_only_routers_of_the_zone_with_low_utilisation_are_chosen(members):
+async def test_only_routers_of_the_zone_with_cpu_time_left_are_chosen(members):
     members.update_from_heartbeat(router("elsewhere", zone="y"))
-    members.update_from_heartbeat(router("crowded", utilisation=HIGH_UTILISATION))
+    full = router("full", utilisation=MAX_CANDIDATE_UTILISATION)
+    members.update_from_heartbeat(full)
     members.update_from_heartbeat(replace(router("older"), relay_port=0))
     members.update_from_heartbeat(replace(router("leaving"), state=MemberState.LEAVING))
     assert count_choices(ConnectionOffloader(members), 1.0) == {None: TRIALS}
 
 
+async def test_routers_that_use_half_of_their_cpu_time_are_chosen(members):
+    """A flooded router served all itself while its whole zone was used that much."""
+    members.update_from_heartbeat(router("half", utilisation=HIGH_UTILISATION))
+    assert count_choices(ConnectionOffloader(members), 1.0) == {"half:82": TRIALS}
+
+
 async def test_candidates_are_retained_while_all_peers_appear_silent(members):
     """An overloaded router reads the heartbeats of its peers seconds late.
 
