--- a/packages/fleet/src/teaselledge_fleet/connection/peers.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/peers.py
@@ -23,8 +23,9 @@
 
 _log = get_log("peers")
 
-SNAPSHOT_TIMEOUT_SECONDS = 0.8
-"""A snapshot has at most about 100 KB, and a round trip between regions takes 46 ms."""
+SNAPSHOT_TIMEOUT_SECONDS = 3.0
+"""A snapshot has at most about 100 KB, which takes 0.2 s with a round trip to another
+region. On a VM whose link is full, each packet waits for a second."""
 
 MAX_DATAGRAM_BYTES = 1 << 16
 
--- a/packages/fleet/src/teaselledge_fleet/process/gossip.py
+++ b/packages/fleet/src/teaselledge_fleet/process/gossip.py
@@ -108,6 +108,13 @@
 MIN_FETCH_SECONDS = 0.4
 """Minimum time between two fetches of a snapshot."""
 
+NEXT_FETCH_SECONDS = 0.8
+"""Time after which another router is asked, too, if a fetch has not ended. The first
+one goes on: a router with a full link would otherwise never end any."""
+
+MAX_FETCHES = 3
+"""Maximum number of concurrent fetches."""
+
 
 class Gossip:
     """Sends heartbeats to the other routers and applies those that it receives."""
@@ -141,13 +148,13 @@
         self._started = asyncio.get_running_loop().time()
         self._pending_changes: list[tuple[EndpointEntry, int]] = []
         """Changed entries, each with the number of heartbeats still to carry it."""
-        self._next_fetch = 0.0
+        self._fetched_at = -math.inf
         self._extrapolated_at = -math.inf
         self._stalls = stalls or StallDetector()
         self._seen_messages = SeenMessages()
         self._totals_sent = 0
         self._totals_sent_at = -math.inf
-        self._fetching: asyncio.Task[None] | None = None
+        self._fetches: set[asyncio.Task[None]] = set()
         self._wake = asyncio.Event()
         self.on_membership_change: Callable[[], None] = lambda: None
         self._resends_left = 0
@@ -537,17 +544,23 @@
 
     def _fetch(self, sender: Member) -> None:
         now = asyncio.get_running_loop().time()
-        if self._fetching is not None and not self._fetching.done():
+        elapsed = now - self._fetched_at
+        if elapsed < (NEXT_FETCH_SECONDS if self._fetches else MIN_FETCH_SECONDS):
             return
-        if now < self._next_fetch:
+        if len(self._fetches) >= MAX_FETCHES:
             return
-        self._next_fetch = now + MIN_FETCH_SECONDS
-        self._fetching = asyncio.create_task(self._fetch_from(sender.peer_address))
+        self._fetched_at = now
+        task = asyncio.create_task(self._fetch_from(sender.peer_address))
+        self._fetches.add(task)
+        task.add_done_callback(self._fetches.discard)
 
     async def _fetch_from(self, address: str) -> None:
         if not await self.fetch_snapshot(address):
             # the next heartbeat of any router may start another fetch
-            self._next_fetch = 0.0
+            self._fetched_at = -math.inf
+            return
+        for task in self._fetches - {asyncio.current_task()}:
+            task.cancel()
 
     def _apply_snapshot(self, state: WholeState) -> None:
         store_cache = self._store_cache
--- a/packages/fleet/tests/test_gossip.py
+++ b/packages/fleet/tests/test_gossip.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from expression import Error
+from teaselledge_fleet.connection.peers import SNAPSHOT_TIMEOUT_SECONDS
 from teaselledge_fleet.process.endpoints import Endpoint
 from teaselledge_standins.spreadfleet import GossipFleet, running_gossip_fleet
 from teaselledge_standins.statestore import (
@@ -65,6 +67,30 @@
         await wait_for(fleet, lambda r: r.store_cache.view.get("e1").leaving)
 
 
+async def test_a_peer_that_never_responds_delays_no_configuration():
+    """The one fetch that was allowed at a time waited for it until its timeout."""
+    store = new_store()
+    async with running_gossip_fleet(store, ROUTERS, decode_empty_routing) as fleet:
+        await asyncio.sleep(5)
+        behind = fleet.routers[-1]
+        link, silent = behind.gossip._client, set()
+        fetch = link.fetch
+
+        async def hang_at_first(address: str):
+            if not silent:
+                silent.add(address)
+            if address in silent:
+                await asyncio.sleep(SNAPSHOT_TIMEOUT_SECONDS)
+                return Error("timeout")
+            return await fetch(address)
+
+        link.fetch = hang_at_first
+        store.configure(b"2")
+        seconds = await wait_for(fleet, lambda r: r.store_cache.version == 2)
+        assert silent
+        assert seconds < DRAIN_SECONDS
+
+
 async def test_another_router_polls_when_the_poller_dies():
     """The only router that reads the store is killed just as an engine leaves.
 
