--- a/packages/fleet/src/teaselledge_fleet/connection/accepting.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/accepting.py
@@ -120,10 +120,10 @@
     peers_have_capacity : callable
         Returns whether other routers are expected to accept one more connection.
     on_relayed : callable
-        Called for each relayed connection with its target's address.
+        Called for each relayed connection with its target's address; returns the tick
+        in which the limit of relayed connections counts it.
     on_relay_refused : callable
-        Called with what `on_relayed` returned for each connection that the target
-        refuses.
+        Called with that tick for each relayed connection that the target refuses.
     version : callable
         Returns the version of the configuration in force.
     has_capacity : callable
--- a/packages/fleet/src/teaselledge_fleet/connection/refusing.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/refusing.py
@@ -105,6 +105,7 @@
         try:
             head = connection.recv(HEAD_BYTES, socket.MSG_PEEK | socket.MSG_DONTWAIT)
             if not head:
+                # the caller has left without a request
                 self.abandoned += 1
                 return True
             key = bearer_key(head)
--- a/packages/fleet/tests/test_gossip.py
+++ b/packages/fleet/tests/test_gossip.py
@@ -5,6 +5,7 @@
 from expression import Error
 from teaselledge_fleet.connection.peers import SNAPSHOT_TIMEOUT_SECONDS
 from teaselledge_fleet.process.endpoints import Endpoint
+from teaselledge_fleet.process.gossip import MAX_FETCHES
 from teaselledge_standins.spreadfleet import GossipFleet, running_gossip_fleet
 from teaselledge_standins.statestore import (
     MemoryStateStore,
@@ -72,23 +73,49 @@
     store = new_store()
     async with running_gossip_fleet(store, ROUTERS, decode_empty_routing) as fleet:
         await asyncio.sleep(5)
-        behind = fleet.routers[-1]
-        link, silent = behind.gossip._client, set()
-        fetch = link.fetch
+        link, cancelled = fleet.routers[-1].gossip._client, []
+        fetch, silent = link.fetch, set()
 
         async def hang_at_first(address: str):
             if not silent:
                 silent.add(address)
-            if address in silent:
+            if address not in silent:
+                return await fetch(address)
+            try:
                 await asyncio.sleep(SNAPSHOT_TIMEOUT_SECONDS)
-                return Error("timeout")
-            return await fetch(address)
+            except asyncio.CancelledError:
+                cancelled.append(address)
+                raise
+            return Error("timeout")
 
         link.fetch = hang_at_first
         store.configure(b"2")
         seconds = await wait_for(fleet, lambda r: r.store_cache.version == 2)
-        assert silent
         assert seconds < DRAIN_SECONDS
+        # what has been fetched need not be fetched again
+        await asyncio.sleep(0.1)
+        assert cancelled == [*silent]
+
+
+async def test_few_snapshots_are_fetched_at_a_time():
+    """On a full link they would delay one another."""
+    store = new_store()
+    async with running_gossip_fleet(store, ROUTERS, decode_empty_routing) as fleet:
+        await asyncio.sleep(5)
+        running, most = 0, 0
+
+        async def hang(address: str):
+            nonlocal running, most
+            running += 1
+            most = max(most, running)
+            await asyncio.sleep(2 * SNAPSHOT_TIMEOUT_SECONDS)
+            running -= 1
+            return Error("timeout")
+
+        fleet.routers[-1].gossip._client.fetch = hang
+        store.configure(b"2")
+        await asyncio.sleep(SNAPSHOT_TIMEOUT_SECONDS + 2)
+        assert most == MAX_FETCHES
 
 
 async def test_another_router_polls_when_the_poller_dies():
--- a/packages/fleet/tests/test_passingrate.py
+++ b/packages/fleet/tests/test_passingrate.py
@@ -2,7 +2,11 @@
 
 from collections import deque
 
-from teaselledge_fleet.process.passingrate import MIN_OFFLOADS, OffloadLimiter
+from teaselledge_fleet.process.passingrate import (
+    MIN_OFFLOADS,
+    RESPONSE_TICKS,
+    OffloadLimiter,
+)
 
 TICKS = 50
 
@@ -48,6 +52,12 @@
     assert offloaded < 3 * 30
 
 
+def test_refusals_that_arrive_after_their_tick_was_evaluated_are_ignored():
+    """They raised an error, and the responses of their relays were lost."""
+    offloaded, _ = simulate(OffloadLimiter(), 100, 20, delay_ticks=RESPONSE_TICKS + 5)
+    assert offloaded == 100
+
+
 def test_the_limit_is_lifted_when_others_have_room_again():
     limiter = OffloadLimiter()
     offloaded, accepted = simulate(limiter, 100, 0)
--- a/packages/fleet/tests/test_placing.py
+++ b/packages/fleet/tests/test_placing.py
@@ -231,6 +231,24 @@
     assert isinstance(await place(harness, harness.context(organisation="peer1")), str)
 
 
+async def test_of_two_organisations_over_their_share_the_one_with_less_finds_room():
+    """Engines went to the one with more attempts, which had 2.5 times its share."""
+    harness = PlacerHarness()
+    usage = {
+        "flood": TokenUsage(9_000_000, 3_600_000),
+        "other": TokenUsage(9_000_000, 2_500_000),
+        "cellar": TokenUsage(9_000_000, 600_000),
+    }
+    report_usage(harness, usage)
+    harness.placer.load.update_source(
+        "r2", {name_hash(e.id): EndpointLoad(5, 0.07) for e in ENGINES}
+    )
+    flood = await place(harness, harness.context(organisation="flood"))
+    assert not isinstance(flood, str)
+    assert flood.kind is FaultKind.OVER_SHARE
+    assert isinstance(await place(harness, harness.context(organisation="other")), str)
+
+
 async def test_fields_of_a_refusal_replace_none_of_its_log_line():
     """The line of a request that is not placed lost its level to a share."""
     harness = PlacerHarness()
--- a/packages/fleet/tests/test_refusing.py
+++ b/packages/fleet/tests/test_refusing.py
@@ -76,6 +76,18 @@
         assert min(weights) >= REFUSALS_PER_SAMPLE
 
 
+async def test_callers_that_have_left_are_counted():
+    """Otherwise a router that accepts too late looks like one that refuses."""
+    shedder = LoadShedder([b"HTTP/1.1 503 x\r\n\r\n"])
+    for how in (socket.SHUT_WR, socket.SHUT_RDWR):
+        near, far = socket.socketpair()
+        far.shutdown(how)
+        shedder.refuse(near)
+        far.close()
+    assert (shedder.refused, shedder.abandoned) == (2, 2)
+    shedder.close()
+
+
 class CountingSocket(socket.socket):
     """Counts system calls by name."""
 
--- a/packages/fleet/tests/test_relay.py
+++ b/packages/fleet/tests/test_relay.py
@@ -7,6 +7,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
+import loguru
 from expression import Error, Result
 from teaselledge_fleet.connection.accepting import PREFACE_SECONDS
 from teaselledge_fleet.connection.relay import (
@@ -102,6 +103,17 @@
         await asyncio.sleep(0.01)
 
 
+async def test_a_router_that_relays_logs_its_connections(pair):
+    """Nothing told by second what became of the connections of a flooded router."""
+    lines = []
+    handler = loguru.logger.add(lambda message: lines.append(message.record))
+    deadline = asyncio.get_running_loop().time() + 5.0
+    while not any(line["message"] == "connections" for line in lines):
+        assert asyncio.get_running_loop().time() < deadline
+        await send_request(pair.overloaded.port)
+    loguru.logger.remove(handler)
+
+
 async def test_truncated_response_does_not_look_complete(pair):
     pair.engine.script = respond_partially
     response = await send_request(pair.overloaded.port, "POST", body=b"order")
@@ -230,6 +242,18 @@
     assert pair.overloaded.router._front.acceptor.relayed == 0
 
 
+async def test_relays_whose_caller_left_before_a_response_are_counted():
+    """They tell of callers that gave up while a late router relayed them."""
+    async with ScriptedEndpoint(never_respond) as router:
+        pool = RelayPool(10.0)
+        relayed_end, caller_end = socket.socketpair()
+        assert await pool.relay(relayed_end, router.address, preface(1))
+        caller_end.close()
+        while pool.running:
+            await asyncio.sleep(0.01)
+        assert pool.abandoned == 1
+
+
 def seconds_until_preface(listening: socket.socket) -> float:
     """Accept a connection; return the time that its preface takes."""
     accepted, _ = listening.accept()
