--- a/tools/capacity_page.py
+++ b/tools/capacity_page.py
@@ -138,11 +138,18 @@
 | sudtrag-hq-grown, scale-1 | 0.47 at the mean of its heavy days | 0.567 with FAIR \
 broken on c72f7ae; 0.403 with no rule broken on 93256fe; 0.349 on 7a689d0; 0.491 until \
 it was given up at 27.4 s, no rule broken (trial of shares in whole prompts); 0.505 on \
-fd21814 and 0.563 on ac0a296, no rule broken in either |
+fd21814, 0.563 on ac0a296 and 0.506 on 6c373ea, no rule broken in any |
 | connections passed on by the flooded router of shifted scale-1, 13 s to 25 s | each \
 second | 0 for five to ten seconds in two plays of four, FAIR broken in both, on \
 fd21814; 556 to 980 in one play with four of the changes of the incident of closed \
 relays |
+| connections relayed by the router of a flood that comes to it alone, 0.516 cores, \
+floods from 5 s (seed 7001, trials) | each second | 0 for two seconds, then 128 to 443 \
+on 66e4f3f; 831 to 1,563 until 11 s with the code of 6c373ea |
+| system calls of a router, by strace: a relayed stream of 25 events; a refused \
+connection | few | 126 and 10 on 66e4f3f; 86 and 6 since c37d51b |
+| least ratio of two floods in windows of 6 s, five draws | 0.5 | 0.44 to 0.58 on \
+66e4f3f; 0.57 to 0.82 since ([two floods](incidents/2026-12-04-two-floods.md)) |
 | live routers of 62 in 6 zones, no fault, virtual clock | each router knows a ready \
 one in each zone at any time | fails within a second before, 10 s without a miss \
 after |
