--- a/packages/fleet/src/teaselledge_fleet/process/waiting.py
+++ b/packages/fleet/src/teaselledge_fleet/process/waiting.py
@@ -110,10 +110,10 @@
             shortest objective of the service's routes; here the request may wait by its
             own, since another engine would have to copy or compute the prefix.
         elapsed : float
-            Seconds since its arrival. Unless it is ahead, they count towards the limit
-            of requests inside the share without reduction: queries to another region
-            take as long as a short limit. Over the share a request would be refused
-            while engines are idle, and inside it before one over the share.
+            Seconds since its arrival. If its organisation is ahead they are taken off
+            its limit, otherwise off the unreduced limit inside the share: queries to
+            another region take as long as the shorter limits. The request would be
+            refused while engines are idle, or before one of an organisation with more.
         contended_use : float
             Part of its share that its organisation has used while another one that has
             used less waits; it counts inside the share.
