Log no share level while all requests fit

What callers would see: the measurement of the event loop ends, so that a router no longer offloads, limits its connections or reports its utilisation.

Cause: the line of an underserved organisation reads the ratio, then the level. Between them the shares may be refreshed, and the level is infinite once all requests fit. It can't be rounded to an integer, and the error ends the task.

Change: the level is logged as none then. The test failed with OverflowError before. A comment on callers that have disconnected is back.

--- a/packages/fleet/src/teaselledge_fleet/connection/refusing.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/refusing.py
@@ -117,6 +117,7 @@
         except BlockingIOError:
             return False
         except OSError:
+            # the caller has disconnected
             self.abandoned += 1
             return True
         return True
--- a/packages/fleet/src/teaselledge_fleet/process/sharelog.py
+++ b/packages/fleet/src/teaselledge_fleet/process/sharelog.py
@@ -1,6 +1,7 @@
 """Log organisations that get far less than others while their requests wait."""
 
 import asyncio
+import math
 
 from teaselledge_fleet.log import get_log
 from teaselledge_fleet.process.shares import OrganisationShares
@@ -44,6 +45,7 @@
             shares.usage_by_hash(ratio.least),
             shares.usage_by_hash(ratio.best),
         )
+        level = shares.level
         _log.warning(
             "organisation underserved",
             organisation=organisation,
@@ -53,5 +55,6 @@
             best_organisation=shares.local_name(ratio.best),
             best_requested=best.requested,
             best_allocated=best.allocated,
-            share_level=round(shares.level),
+            # the shares may have been refreshed since, and all requests fit
+            share_level=round(level) if math.isfinite(level) else None,
         )
--- a/packages/fleet/tests/test_loadlogs.py
+++ b/packages/fleet/tests/test_loadlogs.py
@@ -67,3 +67,15 @@
     await record(shares, 300, 300)
     ShareLog(shares).update()
     assert not lines
+
+
+async def test_a_level_that_has_just_become_infinite_is_logged_as_none(lines):
+    """The error ended the task that measures the event loop of the router."""
+
+    class RefreshedShares(OrganisationShares):
+        level = float("inf")
+
+    shares = RefreshedShares()
+    await record(shares, 4000, 300)
+    ShareLog(shares).update()
+    assert [line["share_level"] for line in lines] == [None]
