Log endpoint and content of attempts that are cut off, count granted retries

What callers saw: repeats beyond what is allowed, and one request under which three endpoints had ended being sent to more. The log could not tell a request that ends its endpoints from a coincidence: "attempt lost" named neither endpoint nor content, and nothing counted retries. Lost and incomplete attempts now carry both, so that the contents in flight at each endpoint that ended can be compared over all routers, and the metric retries{result,service} shows each router's part of the budget. The hash is computed for such attempts only. No decision changes.

--- a/packages/fleet/src/teaselledge_fleet/process/metrics.py
+++ b/packages/fleet/src/teaselledge_fleet/process/metrics.py
@@ -146,6 +146,12 @@
     "attempts": Metric(
         "counter", "attempts", "Attempts at endpoints.", ("outcome", "service")
     ),
+    "retries": Metric(
+        "counter",
+        "attempts",
+        "Retries that this router's part of the budget granted or denied.",
+        ("result", "service"),
+    ),
     "hedges_sent": Metric(
         "counter", "attempts", "Hedges: attempts beside a late one.", ("service",)
     ),
--- /dev/null
+++ b/packages/fleet/src/teaselledge_fleet/quarantine/content.py
@@ -0,0 +1,33 @@
+"""Identify a request by its content, over all attempts of its caller."""
+
+import xxhash
+
+from teaselledge_fleet.request.context import RequestContext
+
+__all__ = ["content_hash"]
+
+SIGN_BITS = 1
+"""Bits by which a hash is shortened, as messages carry signed numbers."""
+
+
+def content_hash(context: RequestContext) -> int:
+    """Return the hash of what an endpoint receives in every attempt at a request.
+
+    A caller's next attempt has another id and less time left, and may resume a stream;
+    other headers may differ as well. Equal requests of two organisations differ, so
+    that no organisation decides on the requests of another one.
+    """
+    if context.content is None:
+        request = context.request
+        hasher = xxhash.xxh3_64()
+        for part in (
+            context.organisation_name,
+            request.host,
+            request.method,
+            request.target,
+            repr(request.prompt),
+        ):
+            hasher.update(part.encode("utf-8", "surrogateescape") + b"\0")
+        hasher.update(context.body)
+        context.content = hasher.intdigest() >> SIGN_BITS
+    return context.content
--- a/packages/fleet/src/teaselledge_fleet/request/attempt.py
+++ b/packages/fleet/src/teaselledge_fleet/request/attempt.py
@@ -17,6 +17,7 @@
 from teaselledge_fleet.log import get_log
 from teaselledge_fleet.process.endpoints import Endpoint
 from teaselledge_fleet.process.metrics import FleetMetrics
+from teaselledge_fleet.quarantine.content import content_hash
 from teaselledge_fleet.request.call import ForwardingInfo, HeaderCodec, ResponseHead
 from teaselledge_fleet.request.context import Outcome, Placement, Placer, RequestContext
 from teaselledge_fleet.request.eventreading import EventReader
@@ -302,7 +303,9 @@
     def _on_send_failure(self, failure: SendFailure) -> Outcome:
         _log.info(
             "attempt lost",
-            id=self._owner.context.request.id,
+            id=self.context.request.id,
+            endpoint=self.endpoint.id,
+            content=content_hash(self.context),
             fault=failure.fault.value,
             reused=failure.reused,
         )
@@ -358,5 +361,6 @@
             "response incomplete",
             id=self.context.request.id,
             endpoint=self.endpoint.id,
+            content=content_hash(self.context),
             detail=str(error),
         )
--- a/packages/fleet/src/teaselledge_fleet/request/context.py
+++ b/packages/fleet/src/teaselledge_fleet/request/context.py
@@ -77,6 +77,8 @@
         Expected time that the engine needs for the prompt, in seconds.
     residency : Residency
         Regions in which the request may be served.
+    content : int or None
+        Hash of the request's content; None until it is computed.
     """
 
     request: CallerRequest
@@ -94,6 +96,7 @@
     version: int = 0
     prefill_seconds: float = 0.0
     residency: Residency = ANYWHERE
+    content: int | None = None
 
     @property
     def priority(self) -> int:
--- a/packages/fleet/src/teaselledge_fleet/request/serving.py
+++ b/packages/fleet/src/teaselledge_fleet/request/serving.py
@@ -387,7 +387,12 @@
             return False
         if outcome in NOT_SENT_OUTCOMES:
             return True
-        return self._proxy._budget.try_acquire(self.context.service)
+        service = self.context.service
+        granted = self._proxy._budget.try_acquire(service)
+        self._proxy._metrics.increment(
+            "retries", result="granted" if granted else "denied", service=service
+        )
+        return granted
 
     def may_retry(self, outcome: Outcome) -> bool:
         """Whether the route allows another attempt after an outcome."""
