Tests of the quarantine's decisions: admission, sending, service, probing

A stream without a length that ends with its connection looks complete, also if its endpoint has crashed: the protocol has it so, and the stand-in sends chunks.

--- a/packages/standins/src/teaselledge_standins/endingendpoint.py
+++ b/packages/standins/src/teaselledge_standins/endingendpoint.py
@@ -26,6 +26,8 @@
         Whether running a request ends the endpoint.
     run_seconds : float
         Time that each request runs.
+    begins : bool
+        Whether it sends the first event of a stream before it ends.
 
     Attributes
     ----------
@@ -33,10 +35,13 @@
         Whether a request has ended it.
     """
 
-    def __init__(self, is_fatal: RequestTest, run_seconds: float = 0.03) -> None:
+    def __init__(
+        self, is_fatal: RequestTest, run_seconds: float = 0.03, begins: bool = False
+    ) -> None:
         super().__init__(self._run)
         self._is_fatal = is_fatal
         self._run_seconds = run_seconds
+        self._begins = begins
         self._end: asyncio.Task[None] | None = None
 
     @property
@@ -53,9 +58,15 @@
         self, request: ScriptedRequest, writer: asyncio.StreamWriter
     ) -> None:
         await asyncio.sleep(self._run_seconds)
+        headers = {"X-Request-Id": request.headers["x-request-id"]}
         if self._is_fatal(request):
+            if self._begins:
+                event = b"id: 1\ndata: 1\n\n"
+                chunk = b"%x\r\n%s\r\n" % (len(event), event)
+                headers["Transfer-Encoding"] = "chunked"
+                writer.write(response_bytes(200, headers, chunk, length=False))
+                await asyncio.sleep(self._run_seconds)
             self._end = self._end or asyncio.create_task(self.close())
             await asyncio.sleep(self._run_seconds)
             return
-        headers = {"X-Request-Id": request.headers["x-request-id"]}
         writer.write(response_bytes(200, headers, request.body))
