Keep the connection that a probe opens

A connection that had not carried a request counted as idle since the loop's start, so the pool closed the one that a probe had opened at the next request, and opened another.

--- a/packages/fleet/src/teaselledge_fleet/connection/endpoint.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/endpoint.py
@@ -310,7 +310,7 @@
         self._address = address
         self._exchange: Exchange | None = None
         self._request_count = 0
-        self._idle_since = 0.0
+        self._idle_since = asyncio.get_running_loop().time()
         self._keep_alive_seconds: float | None = None
         self._reusable = True
         self._task = asyncio.create_task(self._read_responses())
@@ -337,7 +337,7 @@
 
     @property
     def idle_since(self) -> float:
-        """Loop time at which the last request ended."""
+        """Loop time at which the last request ended, or it was opened."""
         return self._idle_since
 
     @property
