Read versions of endpoints and the request that a stream resumes

The adapter read an engine's software version nowhere, and no type of the fleet held it, so no log could tell which version began a stream or goes on with it.

No decision changes.

--- a/packages/fleet/src/teaselledge_fleet/process/endpoints.py
+++ b/packages/fleet/src/teaselledge_fleet/process/endpoints.py
@@ -54,6 +54,9 @@
         Unix time of its start in milliseconds; 0 if unknown.
     sequence : int
         Number of this announcement since its start; 0 if unknown.
+    version : str
+        Version of its software; empty if unknown. Streams of two versions don't fit
+        together.
     """
 
     id: str
@@ -65,6 +68,7 @@
     warmup_seconds: float = field(default=0.0, compare=False)
     started_ms: int = 0
     sequence: int = field(default=0, compare=False)
+    version: str = ""
 
     @property
     def announcement_id(self) -> AnnouncementId:
@@ -202,6 +206,8 @@
             if endpoint is None:
                 continue
             text = f"{endpoint.id}\0{endpoint.address}\0{endpoint.leaving}"
+            if endpoint.version:
+                text += f"\0{endpoint.version}"
             digest ^= xxhash.xxh3_64_intdigest(text.encode())
             if not endpoint.leaving:
                 by_service.setdefault(endpoint.service, []).append(endpoint)
--- a/packages/fleet/src/teaselledge_fleet/process/gossip.py
+++ b/packages/fleet/src/teaselledge_fleet/process/gossip.py
@@ -689,6 +689,7 @@
         state.zone = endpoint.zone
         state.slots = endpoint.slots
         state.leaving = endpoint.leaving
+        state.version = endpoint.version or None
     return state
 
 
@@ -707,6 +708,7 @@
         warmup_seconds=(state.warmup_ms or 0) / 1000,
         started_ms=announcement_id.started_ms,
         sequence=announcement_id.sequence,
+        version=state.version or "",
     )
     return EndpointEntry(state.id, revision, endpoint, announcement_id)
 
--- a/packages/fleet/src/teaselledge_fleet/request/attempt.py
+++ b/packages/fleet/src/teaselledge_fleet/request/attempt.py
@@ -282,6 +282,8 @@
             id=context.request.id,
             endpoint=endpoint.id,
             address=endpoint.address,
+            version=endpoint.version,
+            resumes=context.request.resumed_request,
             send=context.send_count,
             fetch_from=placement.fetch_from,
             **placement.log_fields,
--- a/packages/fleet/src/teaselledge_fleet/request/call.py
+++ b/packages/fleet/src/teaselledge_fleet/request/call.py
@@ -75,6 +75,8 @@
         Set for requests to model engines.
     resume_after : str or None
         Id of the event after which the caller resumes a stream.
+    resumed_request : str or None
+        Id of the caller's attempt that received the first event of that stream.
     """
 
     id: str
@@ -86,6 +88,7 @@
     timeout_seconds: float | None = None
     prompt: Prompt | None = None
     resume_after: str | None = None
+    resumed_request: str | None = None
 
     @property
     def path(self) -> str:
--- a/packages/fleet/src/teaselledge_fleet/request/defaultcodec.py
+++ b/packages/fleet/src/teaselledge_fleet/request/defaultcodec.py
@@ -23,6 +23,7 @@
 """Present in all responses of an endpoint that is about to stop."""
 
 LAST_EVENT = "Last-Event-Id"
+RESUMED_REQUEST = "X-Resumes"
 FETCH_FROM = "X-Fetch-From"
 
 STRIPPED_HEADERS = frozenset(
@@ -72,6 +73,7 @@
             key=key.strip() if scheme.lower() == "bearer" else None,
             timeout_seconds=_parse_seconds(headers.get(DEADLINE)),
             resume_after=headers.get(LAST_EVENT),
+            resumed_request=headers.get(RESUMED_REQUEST),
         )
 
     def endpoint_request_headers(
--- a/packages/wire/fleet.thrift
+++ b/packages/wire/fleet.thrift
@@ -37,6 +37,8 @@
   11: optional i64 sequence,
   // milliseconds for which it stays limited in the requests that it tolerates
   12: optional i32 warmup_ms,
+  // version of its software
+  13: optional string version,
 }
 
 // Whether a zone is drained, at a revision of the store.
--- a/packages/wire/src/teaselledge_wire/gen/fleet/ttypes.py
+++ b/packages/wire/src/teaselledge_wire/gen/fleet/ttypes.py
@@ -219,6 +219,7 @@
      - era
      - sequence
      - warmup_ms
+     - version
 
     """
 
@@ -235,10 +236,11 @@
         'era',
         'sequence',
         'warmup_ms',
+        'version',
     )
 
 
-    def __init__(self, id=None, revision=None, gone=None, service_name=None, address=None, zone=None, slots=None, leaving=None, born=None, era=None, sequence=None, warmup_ms=None,):
+    def __init__(self, id=None, revision=None, gone=None, service_name=None, address=None, zone=None, slots=None, leaving=None, born=None, era=None, sequence=None, warmup_ms=None, version=None,):
         self.id = id
         self.revision = revision
         self.gone = gone
@@ -251,6 +253,7 @@
         self.era = era
         self.sequence = sequence
         self.warmup_ms = warmup_ms
+        self.version = version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -321,6 +324,11 @@
                     self.warmup_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -379,6 +387,10 @@
             oprot.writeFieldBegin('warmup_ms', TType.I32, 12)
             oprot.writeI32(self.warmup_ms)
             oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 13)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2032,6 +2044,7 @@
     (10, TType.I32, 'era', None, None, ),  # 10
     (11, TType.I64, 'sequence', None, None, ),  # 11
     (12, TType.I32, 'warmup_ms', None, None, ),  # 12
+    (13, TType.STRING, 'version', 'UTF8', None, ),  # 13
 )
 all_structs.append(ZoneState)
 ZoneState.thrift_spec = (
