Failing tests: streams that go on at another version

Four engines of the stand-ins, two of each version, name their version in each event. Within one response: each breaks a stream that begins there after its second event. Over a caller's attempts: the caller leaves after the second event and takes the stream up at another router; the router that began half of the streams has started again by then.

--- /dev/null
+++ b/packages/fleet/tests/test_versions.py
@@ -0,0 +1,128 @@
+"""Tests that a stream goes on only at the version that began it, over whole routers."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass
+
+from teaselledge_fleet.process.endpoints import Endpoint
+from teaselledge_fleet.version.routes import RetryPolicy
+from teaselledge_standins.fleetrouters import RunningRouter, running_routers
+from teaselledge_standins.routes import (
+    HOST,
+    ClientResponse,
+    make_route,
+    make_routing,
+    send_request,
+)
+from teaselledge_standins.versionedengine import EVENT_COUNT, VersionedEngine
+
+ROUTERS = 3
+STREAMS = 12
+VERSIONS = ("v1", "v2", "v1", "v2")
+RESUMED_EVENT = 2
+
+
+@dataclass(frozen=True)
+class VersionedFleet:
+    """Routers before engines of two versions."""
+
+    routers: list[RunningRouter]
+    engines: list[VersionedEngine]
+
+    async def resume(self, number: int, stream: str, **headers: str) -> ClientResponse:
+        """Take a stream up after its second event, at some router."""
+        fields = {
+            "X-Request-Id": f"again-{stream}",
+            "Last-Event-Id": str(RESUMED_EVENT),
+            "X-Resumes": stream,
+            **headers,
+        }
+        return await send_request(self.routers[number].port, "POST", fields, b"prompt")
+
+    async def begin(self, number: int, stream: str) -> str:
+        """Begin a stream at some router, and leave it; return its first event."""
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.routers[number].port
+        )
+        writer.write(
+            f"POST /r/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {stream}\r\n"
+            "Content-Length: 6\r\n\r\nprompt".encode()
+        )
+        event = (await reader.readuntil(b"\n\n")).decode()
+        await asyncio.sleep(0.03)
+        writer.close()
+        return event
+
+
+@asynccontextmanager
+async def versioned_fleet() -> AsyncIterator[VersionedFleet]:
+    """Run routers before engines of two versions."""
+    async with AsyncExitStack() as stack:
+        engines = [
+            await stack.enter_async_context(VersionedEngine(version))
+            for version in VERSIONS
+        ]
+        endpoints = [
+            Endpoint(
+                f"e{number}",
+                "books",
+                engine.address,
+                "north-a",
+                40,
+                version=engine.version,
+            )
+            for number, engine in enumerate(engines, 1)
+        ]
+        routing = make_routing(make_route(RetryPolicy.RESUME, stream=True, attempts=4))
+        routers = await stack.enter_async_context(
+            running_routers(ROUTERS, routing, endpoints)
+        )
+        await asyncio.sleep(0.5)
+        yield VersionedFleet(routers, engines)
+
+
+def versions_of(body: bytes) -> list[str]:
+    """Return the version of each event."""
+    lines = body.decode().splitlines()
+    return [line.removeprefix("data: ") for line in lines if line.startswith("data: ")]
+
+
+def mixed(streams: list[list[str]]) -> list[list[str]]:
+    """Return the streams that hold events of two versions."""
+    return [versions for versions in streams if len(set(versions)) > 1]
+
+
+async def test_a_broken_stream_goes_on_at_its_version(versioned_fleet):
+    """A router went on at any engine; what two versions write doesn't fit together."""
+    for engine in versioned_fleet.engines:
+        engine.break_after = RESUMED_EVENT
+    router = versioned_fleet.routers[0]
+    streams = []
+    for number in range(STREAMS):
+        headers = {"X-Request-Id": f"q{number}"}
+        response = await send_request(router.port, "POST", headers, b"prompt")
+        streams.append(versions_of(response.body))
+        assert response.complete
+        assert len(streams[-1]) == EVENT_COUNT
+    assert mixed(streams) == []
+
+
+async def test_a_caller_takes_a_stream_up_at_its_version(versioned_fleet):
+    """Resumptions at other routers were placed like new requests.
+
+    Half of the routers that began a stream have started again when it is taken up.
+    """
+    for engine in versioned_fleet.engines:
+        engine.pause_after = RESUMED_EVENT
+    begun = [await versioned_fleet.begin(0, f"q{n}") for n in range(STREAMS)]
+    streams = []
+    for number, event in enumerate(begun):
+        if number == STREAMS // 2:
+            await versioned_fleet.routers[0].restart()
+            await asyncio.sleep(0.5)
+        response = await versioned_fleet.resume(1 + number % 2, f"q{number}")
+        streams.append(versions_of(event.encode() + response.body))
+        assert response.complete
+        assert len(streams[-1]) == 1 + EVENT_COUNT - RESUMED_EVENT
+    assert mixed(streams) == []
--- a/packages/standins/src/teaselledge_standins/routes.py
+++ b/packages/standins/src/teaselledge_standins/routes.py
@@ -26,6 +26,7 @@
 )
 
 __all__ = [
+    "HOST",
     "ClientResponse",
     "SequentialPlacer",
     "RunningRoute",
