Let streams go on only at the version that began them

Cause: no type of the fleet held a software version, and an attempt to resume was placed like a new request. Class: the state that binds a request to what served it before was kept in one attempt only, or nowhere.

Within a response: the version of the engine that sends the first event binds all later attempts; if none of its engines is left, the stream ends incomplete. Over a caller's attempts: with the first event of a resumable stream its router sends service and version to two others, in different zones, found by the hash of organisation and id; a router that is asked to take a stream up asks them. If nobody knows, or the service has left the route, the answer is a final 502; if a router that may know does not answer, it is 503 with Retry-After. An unknown stream still goes on where the service is known to have had one version for as long as streams are taken up, and one whose caller names no attempt where one version is known. An id that names two streams names none.

Ruled out: asking all routers (each resumption with an invented id would cost a datagram to each of them), telling all of them (31 KB/s at 3,500 streams a second by arithmetic), and choosing the version by a hash of the id (a new version would move streams that run).

Virtual clock: 20 of 20 origins of a killed router are found in fleets of 9 and of 40; with four of nine routers killed and 3% of datagrams lost more than half.

--- a/packages/fleet/src/teaselledge_fleet/connection/codec.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/codec.py
@@ -7,6 +7,9 @@
 from teaselledge_wire.gen.fleet.ttypes import (
     AdmissionReply,
     AdmissionRequest,
+    OriginNote,
+    OriginReply,
+    OriginRequest,
     PartNote,
     PartReply,
     PartRequest,
@@ -44,6 +47,9 @@
     | PartRequest
     | PartReply
     | PartNote
+    | OriginNote
+    | OriginRequest
+    | OriginReply
 )
 """Payload of a datagram."""
 
@@ -55,6 +61,9 @@
     PartRequest: "part_request",
     PartReply: "part_reply",
     PartNote: "part_note",
+    OriginNote: "origin_note",
+    OriginRequest: "origin_request",
+    OriginReply: "origin_reply",
 }
 
 
--- a/packages/fleet/src/teaselledge_fleet/faults.py
+++ b/packages/fleet/src/teaselledge_fleet/faults.py
@@ -35,6 +35,9 @@
     ENDPOINT_FAILED = "endpoint-failed"
     ENDPOINT_TIMEOUT = "endpoint-timeout"
     QUARANTINED = "quarantined"
+    ORIGIN_GONE = "origin-gone"
+    ORIGIN_UNANSWERED = "origin-unanswered"
+    ORIGIN_UNKNOWN = "origin-unknown"
 
 
 @dataclass(frozen=True)
@@ -72,6 +75,15 @@
     FaultKind.ENDPOINT_FAILED: FaultResponse(502, "The endpoint failed"),
     FaultKind.ENDPOINT_TIMEOUT: FaultResponse(504, "The endpoint took too long"),
     FaultKind.QUARANTINED: FaultResponse(502, "Endpoints ended running this request"),
+    FaultKind.ORIGIN_GONE: FaultResponse(
+        502, "No endpoint of the version that began this stream is left"
+    ),
+    FaultKind.ORIGIN_UNANSWERED: FaultResponse(
+        503, "Routers that may know what began this stream do not answer"
+    ),
+    FaultKind.ORIGIN_UNKNOWN: FaultResponse(
+        502, "It is not known what began this stream"
+    ),
 }
 
 
--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -8,6 +8,7 @@
 from teaselledge_fleet.engines.settings import EngineSpeedSettings
 from teaselledge_fleet.engines.speeds import EngineSpeeds
 from teaselledge_fleet.faults import Fault, FaultKind
+from teaselledge_fleet.migration.versions import VersionHistory
 from teaselledge_fleet.process.admitting import (
     AdmissionCheck,
     Admitter,
@@ -113,6 +114,7 @@
         self._distance = Distance(zone, zones)
         self._load = FleetLoad()
         self._shares = OrganisationShares()
+        self._versions = VersionHistory()
         self._prefixes = PrefixLookup()
         self._outliers = OutlierDetector()
         self._wait_limits = QueueWaitLimits()
@@ -215,6 +217,8 @@
         prompt = context.request.prompt
         endpoints = self._available_endpoints(context)
         if not endpoints:
+            if not self._has_version(context):
+                return Error(Fault(FaultKind.ORIGIN_GONE))
             return Error(self._refusal.no_endpoint(context))
         if prompt is None:
             return await self._place_plain(context, endpoints)
@@ -251,6 +255,10 @@
         self._in_flight.record_allocation(context, admitted.endpoint)
         return self._placement(context, admitted)
 
+    def only_version(self, service: str, complete: bool) -> str | None:
+        """Return the software version of a service if it has just one, else None."""
+        return self._versions.only_version(service, complete)
+
     def is_inside_share(self, context: RequestContext) -> bool:
         """Whether the organisation of a request is inside its share."""
         return not self._shares.is_over_share(
@@ -467,7 +475,8 @@
         return self._engine_speeds
 
     def retain_endpoints(self) -> None:
-        """Drop the state of endpoints that no longer exist."""
+        """Note the endpoints that exist, and drop the state of all others."""
+        self._versions.update(self._view.endpoints)
         names = {endpoint.id for endpoint in self._view.endpoints}
         self._load.retain_endpoints(names)
         self._outliers.retain_endpoints(names)
@@ -483,10 +492,18 @@
                 context.service, context.residency
             )
             if endpoint.id not in context.attempted_endpoints
+            and context.engine_version in (None, endpoint.version)
         ]
         reachable = [e for e in untried if not self._outliers.is_ejected(e.id)]
         return reachable or untried
 
+    def _has_version(self, context: RequestContext) -> bool:
+        """Whether any endpoint of the version that a stream needs is not leaving."""
+        return context.engine_version is None or any(
+            each.version == context.engine_version
+            for each in self._view.of_service(context.service)
+        )
+
     def _share_fields(self, organisation: str) -> dict[str, float | None]:
         """Return the usage behind a share status, as fields of the log line."""
         return self._refusal.share_fields(organisation)
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -15,6 +15,7 @@
 from teaselledge_fleet.connection.sendbuffers import SendBufferLimits, SendBuffers
 from teaselledge_fleet.hedging.policy import HedgePolicy
 from teaselledge_fleet.log import get_log
+from teaselledge_fleet.migration.directory import OriginDirectory
 from teaselledge_fleet.process.addresses import RegionCoverage, addresses_for
 from teaselledge_fleet.process.admission import AdmissionController
 from teaselledge_fleet.process.admissionrpc import AdmissionRpc
@@ -191,13 +192,7 @@
             self._placer.set_queue(
                 settings.queueing, self._admission_rpc, self._metrics
             )
-        self._placer.set_admission_check(
-            self._admission_rpc.request_admission, self._admission_rpc.round_trips
-        )
-        self._placer.set_restart_report(self._admission_rpc.report_restart)
-        self._placer.set_locator(
-            PrefixLocator(self._members, self._socket, coordinators)
-        )
+        self._connect_to_fleet(coordinators)
         self._gossip = Gossip(
             self._members,
             self._store_cache,
@@ -219,6 +214,16 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._store_cache.on_change.append(self._apply_store_cache)
 
+    def _connect_to_fleet(self, coordinators: Coordinators) -> None:
+        """Let placing and serving ask other routers."""
+        members, peer_socket, rpc = self._members, self._socket, self._admission_rpc
+        self._placer.set_admission_check(rpc.request_admission, rpc.round_trips)
+        self._placer.set_restart_report(rpc.report_restart)
+        self._placer.set_locator(PrefixLocator(members, peer_socket, coordinators))
+        self._server.set_origins(
+            OriginDirectory(members, self._settings.zones, peer_socket, coordinators)
+        )
+
     def _make_server(self, dialect: HeaderCodec) -> RequestProxy:
         """Return the request path; it and placing learn when this router is late."""
         server = RequestProxy(
--- a/packages/fleet/src/teaselledge_fleet/request/context.py
+++ b/packages/fleet/src/teaselledge_fleet/request/context.py
@@ -79,6 +79,8 @@
         Regions in which the request may be served.
     content : int or None
         Hash of the request's content; None until it is computed.
+    engine_version : str or None
+        Software version at which its stream must go on; None until that is decided.
     """
 
     request: CallerRequest
@@ -97,6 +99,7 @@
     prefill_seconds: float = 0.0
     residency: Residency = ANYWHERE
     content: int | None = None
+    engine_version: str | None = None
 
     @property
     def priority(self) -> int:
@@ -164,6 +167,12 @@
         The last attempt of the request is in flight.
         """
 
+    def only_version(self, service: str, complete: bool) -> str | None:
+        """Return the software version of a service if it has just one, else None.
+
+        With `complete`, it must be known of the time before this router has started.
+        """
+
     def is_inside_share(self, context: RequestContext) -> bool:
         """Whether the organisation of a request is inside its share."""
 
--- a/packages/fleet/src/teaselledge_fleet/request/serving.py
+++ b/packages/fleet/src/teaselledge_fleet/request/serving.py
@@ -18,6 +18,13 @@
 )
 from teaselledge_fleet.hedging.policy import HedgePolicy
 from teaselledge_fleet.log import get_log
+from teaselledge_fleet.migration.origins import (
+    OriginStore,
+    OriginTable,
+    StreamOrigin,
+    stream_key,
+)
+from teaselledge_fleet.migration.resuming import decide_resumption
 from teaselledge_fleet.process.budget import RetryBudget
 from teaselledge_fleet.process.endpoints import Endpoint
 from teaselledge_fleet.process.metrics import FleetMetrics
@@ -124,6 +131,11 @@
         self.is_overloaded: Callable[[], bool] = lambda: False
         self.on_admitted: Callable[[str], None] = lambda organisation: None
         self._hedger: RequestHedger | None = None
+        self._origins: OriginStore = OriginTable()
+
+    def set_origins(self, origins: OriginStore) -> None:
+        """Set where the fleet keeps the origins of streams; this router by default."""
+        self._origins = origins
 
     def enable_hedging(self, policy: HedgePolicy) -> RequestHedger:
         """Hedge late requests as a policy allows; none is hedged otherwise."""
@@ -277,6 +289,10 @@
             self._record_end(outcome, endpoint)
 
     async def _run_attempts(self) -> tuple[Outcome, Endpoint | None]:
+        fault = await self._decide_origin()
+        if fault is not None:
+            await self._fail(fault)
+            return Outcome.DECLINED, None
         while True:
             placed = await self._proxy._placer.place(self.context)
             if placed.is_error():
@@ -297,6 +313,40 @@
                 await self._fail(self._final_fault(outcome))
                 return outcome, attempt.endpoint
 
+    @property
+    def _resumable(self) -> bool:
+        return self.context.route.retry_policy is RetryPolicy.RESUME
+
+    async def _decide_origin(self) -> Fault | None:
+        """Bind a stream that its caller takes up to the version that began it."""
+        context, proxy = self.context, self._proxy
+        request = context.request
+        if request.resume_after is None or not self._resumable:
+            return None
+        found = None
+        if request.resumed_request:
+            key = stream_key(context.organisation_name, request.resumed_request)
+            found = await proxy._origins.find(key)
+        decided = decide_resumption(
+            found, context.route, context.service, proxy._placer.only_version
+        )
+        if decided.is_error():
+            return decided.error
+        context.service = decided.ok.service
+        context.engine_version = decided.ok.version
+        return None
+
+    def _record_origin(self, endpoint: Endpoint) -> None:
+        """Bind a stream to the version that sends its first event."""
+        context = self.context
+        if not self._resumable:
+            return
+        context.engine_version = endpoint.version
+        self._proxy._origins.record(
+            stream_key(context.organisation_name, context.request.id),
+            StreamOrigin(context.service, endpoint.version),
+        )
+
     async def _open(self, attempt: Attempt) -> tuple[Attempt, ReadyResponse | Outcome]:
         """Open an attempt; return it, or the hedge that responded before it."""
         hedger = self._proxy._hedger
@@ -378,6 +428,7 @@
             await self.writer.write(events)
             return
         context = self.context
+        self._record_origin(endpoint)
         context.first_event_at = asyncio.get_running_loop().time()
         self._proxy._placer.on_response_started(context, endpoint)
         headers = head.headers.copy()
--- /dev/null
+++ b/packages/fleet/tests/test_origins.py
@@ -0,0 +1,173 @@
+"""Tests of how the fleet knows which version began a stream."""
+
+import asyncio
+import random
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+from expression import Error, Ok
+from teaselledge_fleet.faults import Fault, FaultKind
+from teaselledge_fleet.migration.origins import (
+    MAX_ORIGINS,
+    RETENTION_SECONDS,
+    NotFound,
+    OriginTable,
+    StreamOrigin,
+    stream_key,
+)
+from teaselledge_fleet.migration.resuming import decide_resumption
+from teaselledge_fleet.migration.versions import HISTORY_SECONDS, VersionHistory
+from teaselledge_fleet.process.endpoints import Endpoint
+from teaselledge_fleet.version.routes import RetryPolicy, Target
+from teaselledge_standins.routes import make_route
+from teaselledge_standins.spreadfleet import running_gossip_fleet
+from teaselledge_standins.statestore import decode_empty_routing, make_store
+
+VIRTUAL_CLOCK = True
+OLD, NEW = StreamOrigin("books", "v1"), StreamOrigin("books", "v2")
+
+
+@dataclass
+class ManualClock:
+    """A clock that a test sets."""
+
+    now: float = 0.0
+
+    def __call__(self) -> float:
+        """Return the time."""
+        return self.now
+
+
+@contextmanager
+def clock():
+    yield ManualClock()
+
+
+def endpoints(*versions: str) -> list[Endpoint]:
+    return [
+        Endpoint(f"e{n}", "books", f"127.0.0.1:{n}", "z0", 4, version=version)
+        for n, version in enumerate(versions)
+    ]
+
+
+def test_origins_are_kept_for_a_while(clock):
+    table = OriginTable(clock)
+    table.record(1, OLD)
+    clock.now = RETENTION_SECONDS
+    assert table.get(1) == OLD
+    clock.now += 1.0
+    assert table.get(1) is None
+    for key in range(MAX_ORIGINS + 10):
+        table.record(key, OLD)
+    assert len(table) == MAX_ORIGINS
+
+
+def test_an_id_that_names_two_streams_names_none(clock):
+    table = OriginTable(clock)
+    for origin in (OLD, OLD):
+        table.record(1, origin)
+    assert table.get(1) == OLD
+    table.record(1, NEW)
+    table.record(1, NEW)
+    assert table.get(1) is None
+
+
+def test_ids_of_two_organisations_differ():
+    assert stream_key("cellar", "q1") != stream_key("archive", "q1")
+
+
+def test_a_version_counts_for_a_while_after_its_last_engine(clock):
+    history = VersionHistory(clock)
+    history.update(endpoints("v1", "v1"))
+    clock.now = 10 * HISTORY_SECONDS
+    assert history.only_version("books", True) == "v1"
+    history.update(endpoints("v1", "v2"))
+    assert history.only_version("books", False) is None
+    clock.now += 5.0
+    history.update(endpoints("v2"))
+    clock.now += HISTORY_SECONDS - 1.0
+    assert history.only_version("books", False) is None
+    clock.now += 2.0
+    assert history.only_version("books", True) == "v2"
+
+
+def test_a_router_that_has_just_started_does_not_know_earlier_versions(clock):
+    history = VersionHistory(clock)
+    history.update(endpoints("v2"))
+    clock.now = HISTORY_SECONDS - 1.0
+    assert history.only_version("books", True) is None
+    assert history.only_version("books", False) == "v2"
+
+
+def test_where_a_resumed_stream_goes_on():
+    route = make_route(RetryPolicy.RESUME, stream=True)
+    split = make_route(RetryPolicy.RESUME, targets=(Target("books"), Target("more")))
+    moved = make_route(RetryPolicy.RESUME, targets=(Target("more"),))
+    unknown = Error(Fault(FaultKind.ORIGIN_UNKNOWN))
+    cases = (
+        (OLD, split, "more", None, Ok(OLD)),
+        (OLD, moved, "more", "v1", Error(Fault(FaultKind.ORIGIN_GONE))),
+        (NotFound.UNKNOWN, route, "books", None, unknown),
+        (NotFound.UNKNOWN, route, "books", "v1", Ok(OLD)),
+        (NotFound.UNKNOWN, split, "books", "v1", unknown),
+        (None, route, "books", "v1", Ok(OLD)),
+        (
+            NotFound.UNANSWERED,
+            route,
+            "books",
+            None,
+            Error(Fault(FaultKind.ORIGIN_UNANSWERED, 0.2)),
+        ),
+    )
+    for found, where, service, version, decided in cases:
+        assert (
+            decide_resumption(found, where, service, lambda _, __, v=version: v)
+            == decided
+        )
+
+
+def test_an_unknown_attempt_must_be_of_the_only_version_for_certain():
+    """A caller that names none is served as before versions were known."""
+    route = make_route(RetryPolicy.RESUME, stream=True)
+    for found, complete in ((NotFound.UNKNOWN, True), (None, False)):
+        asked = []
+        decide_resumption(found, route, "books", lambda _, c: asked.append(c))  # noqa: B023
+        assert asked == [complete]
+
+
+async def find_all(routers: int, killed: int, loss: float) -> tuple[int, int]:
+    """Let routers begin streams, kill some, and take all up at the others.
+
+    Returns how many origins were found of those of killed routers, and their number.
+    """
+    store = make_store([])
+    async with running_gossip_fleet(store, routers, decode_empty_routing) as fleet:
+        await asyncio.sleep(5.0)
+        fleet.rng, fleet.loss = random.Random(routers), loss
+        streams = range(20 * routers)
+        for key in streams:
+            beginning = fleet.routers[key % routers]
+            beginning.origins.record(key, OLD if key % 3 else NEW)
+        await asyncio.sleep(0.2)
+        for number in range(killed):
+            fleet.routers[number].kill()
+        found = total = 0
+        for key in streams:
+            asking = fleet.routers[killed + key % (routers - killed)]
+            origin = await asking.origins.find(key)
+            assert origin in (OLD if key % 3 else NEW, *NotFound)
+            if key % routers < killed:
+                total += 1
+                found += isinstance(origin, StreamOrigin)
+    return found, total
+
+
+async def test_other_routers_know_what_a_killed_router_began():
+    assert await find_all(9, 1, 0.0) == (20, 20)
+    assert await find_all(40, 1, 0.0) == (20, 20)
+
+
+async def test_most_streams_go_on_after_four_of_nine_routers_were_killed():
+    """Half as large a share as of new streams must go on."""
+    found, total = await find_all(9, 4, 0.03)
+    assert found > total / 2
--- a/packages/fleet/tests/test_versions.py
+++ b/packages/fleet/tests/test_versions.py
@@ -15,6 +15,7 @@
     make_routing,
     send_request,
 )
+from teaselledge_standins.statestore import MemoryStateStore
 from teaselledge_standins.versionedengine import EVENT_COUNT, VersionedEngine
 
 ROUTERS = 3
@@ -30,6 +31,16 @@
     routers: list[RunningRouter]
     engines: list[VersionedEngine]
 
+    @property
+    def store(self) -> MemoryStateStore:
+        """The store of all routers."""
+        return self.routers[0].store
+
+    def endpoint(self, name: str, version: str, number: int) -> Endpoint:
+        """Return an endpoint at the address of an engine."""
+        address = self.engines[number].address
+        return Endpoint(name, "books", address, "north-a", 40, version=version)
+
     async def resume(self, number: int, stream: str, **headers: str) -> ClientResponse:
         """Take a stream up after its second event, at some router."""
         fields = {
@@ -63,23 +74,16 @@
             await stack.enter_async_context(VersionedEngine(version))
             for version in VERSIONS
         ]
+        fleet = VersionedFleet([], engines)
         endpoints = [
-            Endpoint(
-                f"e{number}",
-                "books",
-                engine.address,
-                "north-a",
-                40,
-                version=engine.version,
-            )
-            for number, engine in enumerate(engines, 1)
+            fleet.endpoint(f"e{number + 1}", engine.version, number)
+            for number, engine in enumerate(engines)
         ]
         routing = make_routing(make_route(RetryPolicy.RESUME, stream=True, attempts=4))
-        routers = await stack.enter_async_context(
-            running_routers(ROUTERS, routing, endpoints)
-        )
+        running = running_routers(ROUTERS, routing, endpoints)
+        fleet.routers.extend(await stack.enter_async_context(running))
         await asyncio.sleep(0.5)
-        yield VersionedFleet(routers, engines)
+        yield fleet
 
 
 def versions_of(body: bytes) -> list[str]:
@@ -126,3 +130,43 @@
         assert response.complete
         assert len(streams[-1]) == 1 + EVENT_COUNT - RESUMED_EVENT
     assert mixed(streams) == []
+
+
+async def test_a_stream_of_unknown_origin_is_refused_at_once(versioned_fleet):
+    """Placed at some engine it would hold events of two versions half of the time."""
+    response = await versioned_fleet.resume(0, "unknown")
+    assert (response.status, b"origin-unknown" in response.body) == (502, True)
+    unnamed = await versioned_fleet.resume(0, "unnamed", **{"X-Resumes": ""})
+    assert (unnamed.status, b"origin-unknown" in unnamed.body) == (502, True)
+    assert not any(engine.received for engine in versioned_fleet.engines)
+
+
+async def test_a_stream_whose_version_has_left_ends_incomplete(versioned_fleet):
+    """It must not look complete, and its caller may begin anew."""
+    for engine in versioned_fleet.engines:
+        engine.break_after = RESUMED_EVENT
+    headers = {"X-Request-Id": "q1"}
+    for endpoint in ("e3", "e4"):
+        versioned_fleet.store.delete(endpoint)
+    await asyncio.sleep(1.5)
+    router = versioned_fleet.routers[0]
+    response = await send_request(router.port, "POST", headers, b"prompt")
+    assert len(versions_of(response.body)) == RESUMED_EVENT
+    assert not response.complete
+    for endpoint in ("e1", "e2"):
+        versioned_fleet.store.delete(endpoint)
+    versioned_fleet.store.put(versioned_fleet.endpoint("e5", "v3", 0))
+    await asyncio.sleep(1.5)
+    again = await versioned_fleet.resume(1, "q1")
+    assert (again.status, b"origin-gone" in again.body) == (502, True)
+
+
+async def test_endpoints_that_are_replaced_under_their_id_have_their_version(
+    versioned_fleet,
+):
+    """Routers compare views by a digest, and fetch a snapshot if it differs."""
+    versioned_fleet.store.put(versioned_fleet.endpoint("e1", "v9", 0))
+    await asyncio.sleep(1.5)
+    for running in versioned_fleet.routers:
+        view = running.router._store_cache.view
+        assert view.get("e1").version == "v9"
--- a/packages/standins/src/teaselledge_standins/fleetrouters.py
+++ b/packages/standins/src/teaselledge_standins/fleetrouters.py
@@ -13,7 +13,7 @@
 from teaselledge_fleet.version.routes import RoutingConfiguration
 
 from teaselledge_standins.processes import free_ports
-from teaselledge_standins.statestore import StoreClient, make_store
+from teaselledge_standins.statestore import MemoryStateStore, StoreClient, make_store
 
 __all__ = ["RunningRouter", "SaturatedLoopMonitor", "running_routers"]
 
@@ -61,6 +61,7 @@
     router: FleetRouter
     port: int
     make_router: Callable[[], FleetRouter]
+    store: MemoryStateStore
 
     async def restart(self) -> None:
         """Close the router without notice, and start one that knows nothing yet."""
@@ -108,7 +109,7 @@
             lambda data: routing,
         )
         port = int(settings.listeners.callers.rpartition(":")[2])
-        running.append(RunningRouter(make_router(), port, make_router))
+        running.append(RunningRouter(make_router(), port, make_router, store))
     for entry in running:
         await entry.router.start()
     try:
--- a/packages/standins/src/teaselledge_standins/spreadfleet.py
+++ b/packages/standins/src/teaselledge_standins/spreadfleet.py
@@ -15,6 +15,7 @@
     encode_state,
 )
 from teaselledge_fleet.engines.settings import EngineSpeedSettings
+from teaselledge_fleet.migration.directory import OriginDirectory
 from teaselledge_fleet.process.admission import AdmissionController
 from teaselledge_fleet.process.admissionrpc import AdmissionRpc
 from teaselledge_fleet.process.coordinators import Coordinators
@@ -52,6 +53,7 @@
     load: FleetLoad
     link: "_Link"
     quarantine: Quarantine
+    origins: OriginDirectory
     tasks: list["asyncio.Task[None]"] = field(default_factory=list)
     killed: bool = False
     queued_datagrams: list[tuple[bytes, str]] | None = None
@@ -147,6 +149,8 @@
         When the speeds of single engines take effect; None if they are not estimated.
     queueing : QueueSettings or None
         Queue in front of the engines.
+    zones : tuple of str
+        All zones.
     """
 
     store: MemoryStateStore
@@ -160,6 +164,7 @@
     warmup_rate_extra: float | None = None
     engine_speeds: EngineSpeedSettings | None = None
     queueing: QueueSettings | None = None
+    zones: tuple[str, ...] = ()
 
     def transmit(self, sender: str, address: str, data: bytes) -> None:
         """Deliver a datagram after the delay, unless it is lost or the path is cut."""
@@ -239,6 +244,7 @@
             load,
             link,
             quarantine,
+            OriginDirectory(members, self.zones, link, coordinators),
         )
         router.run()
         self.routers = [r for r in self.routers if r.vm != vm] + [router]
@@ -274,7 +280,10 @@
 ) -> AsyncIterator[GossipFleet]:
     """Run ``count`` routers, the first three of them seeds, as a context manager."""
     random.seed(count)
-    fleet = GossipFleet(store, engine_speeds=engine_speeds, queueing=queueing)
+    names = tuple(f"z{number}" for number in range(zones))
+    fleet = GossipFleet(
+        store, engine_speeds=engine_speeds, queueing=queueing, zones=names
+    )
     seeds = [f"r{number:03}:1" for number in range(min(3, count))]
     for number in range(count):
         fleet.start(f"r{number:03}", f"z{number % zones}", decode, seeds)
--- a/packages/wire/fleet.thrift
+++ b/packages/wire/fleet.thrift
@@ -188,6 +188,27 @@
   2: i32 endpoint,
 }
 
+// Tells a router which service and version began a stream, to be kept for others.
+struct OriginNote {
+  // hash of the organisation and of the id of the attempt that received the first event
+  1: i64 stream,
+  2: string service_name,
+  3: string version,
+}
+
+// Asks a router for what it keeps of a stream.
+struct OriginRequest {
+  1: i64 sequence,
+  2: i64 stream,
+}
+
+struct OriginReply {
+  1: i64 sequence,
+  // absent if the router knows nothing of the stream
+  2: optional string service_name,
+  3: optional string version,
+}
+
 // One datagram; exactly one of the fields after the first is set.
 struct PeerMessage {
   1: i16 protocol,
@@ -198,4 +219,7 @@
   6: optional PartRequest part_request,
   7: optional PartReply part_reply,
   8: optional PartNote part_note,
+  9: optional OriginNote origin_note,
+  10: optional OriginRequest origin_request,
+  11: optional OriginReply origin_reply,
 }
--- a/packages/wire/src/teaselledge_wire/gen/fleet/ttypes.py
+++ b/packages/wire/src/teaselledge_wire/gen/fleet/ttypes.py
@@ -1857,6 +1857,270 @@
         return not (self == other)
 
 
+class OriginNote(object):
+    """
+    Attributes:
+     - stream
+     - service_name
+     - version
+
+    """
+
+    __slots__ = (
+        'stream',
+        'service_name',
+        'version',
+    )
+
+
+    def __init__(self, stream=None, service_name=None, version=None,):
+        self.stream = stream
+        self.service_name = service_name
+        self.version = version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.stream = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OriginNote')
+        if self.stream is not None:
+            oprot.writeFieldBegin('stream', TType.I64, 1)
+            oprot.writeI64(self.stream)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 3)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class OriginRequest(object):
+    """
+    Attributes:
+     - sequence
+     - stream
+
+    """
+
+    __slots__ = (
+        'sequence',
+        'stream',
+    )
+
+
+    def __init__(self, sequence=None, stream=None,):
+        self.sequence = sequence
+        self.stream = stream
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.stream = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OriginRequest')
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 1)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.stream is not None:
+            oprot.writeFieldBegin('stream', TType.I64, 2)
+            oprot.writeI64(self.stream)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class OriginReply(object):
+    """
+    Attributes:
+     - sequence
+     - service_name
+     - version
+
+    """
+
+    __slots__ = (
+        'sequence',
+        'service_name',
+        'version',
+    )
+
+
+    def __init__(self, sequence=None, service_name=None, version=None,):
+        self.sequence = sequence
+        self.service_name = service_name
+        self.version = version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OriginReply')
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 1)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 3)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PeerMessage(object):
     """
     Attributes:
@@ -1868,6 +2132,9 @@
      - part_request
      - part_reply
      - part_note
+     - origin_note
+     - origin_request
+     - origin_reply
 
     """
 
@@ -1880,10 +2147,13 @@
         'part_request',
         'part_reply',
         'part_note',
+        'origin_note',
+        'origin_request',
+        'origin_reply',
     )
 
 
-    def __init__(self, protocol=None, pulse=None, report=None, request=None, reply=None, part_request=None, part_reply=None, part_note=None,):
+    def __init__(self, protocol=None, pulse=None, report=None, request=None, reply=None, part_request=None, part_reply=None, part_note=None, origin_note=None, origin_request=None, origin_reply=None,):
         self.protocol = protocol
         self.pulse = pulse
         self.report = report
@@ -1892,6 +2162,9 @@
         self.part_request = part_request
         self.part_reply = part_reply
         self.part_note = part_note
+        self.origin_note = origin_note
+        self.origin_request = origin_request
+        self.origin_reply = origin_reply
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1949,6 +2222,24 @@
                     self.part_note.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRUCT:
+                    self.origin_note = OriginNote()
+                    self.origin_note.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRUCT:
+                    self.origin_request = OriginRequest()
+                    self.origin_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRUCT:
+                    self.origin_reply = OriginReply()
+                    self.origin_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1991,6 +2282,18 @@
             oprot.writeFieldBegin('part_note', TType.STRUCT, 8)
             self.part_note.write(oprot)
             oprot.writeFieldEnd()
+        if self.origin_note is not None:
+            oprot.writeFieldBegin('origin_note', TType.STRUCT, 9)
+            self.origin_note.write(oprot)
+            oprot.writeFieldEnd()
+        if self.origin_request is not None:
+            oprot.writeFieldBegin('origin_request', TType.STRUCT, 10)
+            self.origin_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.origin_reply is not None:
+            oprot.writeFieldBegin('origin_reply', TType.STRUCT, 11)
+            self.origin_reply.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2152,6 +2455,26 @@
     (1, TType.I32, 'part', None, None, ),  # 1
     (2, TType.I32, 'endpoint', None, None, ),  # 2
 )
+all_structs.append(OriginNote)
+OriginNote.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'stream', None, None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'version', 'UTF8', None, ),  # 3
+)
+all_structs.append(OriginRequest)
+OriginRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'sequence', None, None, ),  # 1
+    (2, TType.I64, 'stream', None, None, ),  # 2
+)
+all_structs.append(OriginReply)
+OriginReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'sequence', None, None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'version', 'UTF8', None, ),  # 3
+)
 all_structs.append(PeerMessage)
 PeerMessage.thrift_spec = (
     None,  # 0
@@ -2163,6 +2486,9 @@
     (6, TType.STRUCT, 'part_request', [PartRequest, None], None, ),  # 6
     (7, TType.STRUCT, 'part_reply', [PartReply, None], None, ),  # 7
     (8, TType.STRUCT, 'part_note', [PartNote, None], None, ),  # 8
+    (9, TType.STRUCT, 'origin_note', [OriginNote, None], None, ),  # 9
+    (10, TType.STRUCT, 'origin_request', [OriginRequest, None], None, ),  # 10
+    (11, TType.STRUCT, 'origin_reply', [OriginReply, None], None, ),  # 11
 )
 fix_spec(all_structs)
 del all_structs
