Copy prefixes only between engines of one version

What two software versions write does not fit together, and engines don't check this; a caller would get a response computed from another version's cache.

The first source of the engine's own version is named; if there is none, the engine computes the prefix itself, which costs its time while two versions serve side by side.

--- a/packages/fleet/src/teaselledge_fleet/process/choosing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/choosing.py
@@ -168,8 +168,8 @@
 
     def fetch_sources(
         self, further_engines: Sequence[Endpoint] = ()
-    ) -> tuple[Endpoint | None, Endpoint | None]:
-        """Return the engine from which others copy the prefix, and its own source.
+    ) -> tuple[Endpoint, ...]:
+        """Return the engines from which others may copy the prefix, the best one first.
 
         If no holder is known, the first choice may still have it cached.
 
@@ -179,12 +179,11 @@
             Holders that are no candidates in rendezvous order.
         """
         if self.prefix_id is None:
-            return None, None
+            return ()
         by_hash = {name_hash(each.id): each for each in further_engines}
         by_hash |= {name_hash(each.id): each for each in reversed(self.ranked_engines)}
         held = (by_hash[holder] for holder in self.holders if holder in by_hash)
-        sources = list(dict.fromkeys([*held, *self.ranked_engines[:2]]))
-        return sources[0], sources[1] if len(sources) > 1 else None
+        return tuple(dict.fromkeys([*held, *self.ranked_engines[:2]]))
 
 
 @dataclass(frozen=True)
@@ -203,8 +202,8 @@
     ----------
     mean_prefill_seconds : float
         Prefill time at an engine with the mean speed of the service.
-    fetch_sources : tuple of Endpoint or None
-        Engine from which the others copy the prefix, and its own source.
+    fetch_sources : tuple of Endpoint
+        Engines from which the others may copy the prefix, the best one first.
     factors : mapping of str to float, or None
         Factors of the prefill time by engine; None if the engines count as equal.
     idle_engines : sequence of Endpoint
@@ -214,17 +213,20 @@
     """
 
     mean_prefill_seconds: float
-    fetch_sources: tuple[Endpoint | None, Endpoint | None]
+    fetch_sources: tuple[Endpoint, ...]
     factors: Mapping[str, float] | None = None
     idle_engines: Sequence[Endpoint] = ()
     paths: dict[str, _Path] = field(default_factory=dict)
 
     def fetch_address(self, endpoint: Endpoint) -> str | None:
-        """Return the address of the engine from which another copies the prefix."""
-        source, other = self.fetch_sources
-        if source is endpoint:
-            source = other
-        return source.address if source is not None else None
+        """Return the address of the engine from which another copies the prefix.
+
+        What engines of two software versions cache does not fit together.
+        """
+        for source in self.fetch_sources:
+            if source is not endpoint and source.version == endpoint.version:
+                return source.address
+        return None
 
 
 class EndpointChooser:
--- a/packages/fleet/tests/test_placing.py
+++ b/packages/fleet/tests/test_placing.py
@@ -127,6 +127,21 @@
     assert result.ok.fetch_from == second.address
 
 
+async def test_a_prefix_is_not_copied_from_an_engine_of_another_version():
+    """What two versions write does not fit together, and engines don't check it."""
+    harness = PlacerHarness()
+    holder = rendezvous_order("p1", ENGINES)[1]
+    newer = [replace(each, version="v2") for each in ENGINES if each is not holder]
+    entries = [EndpointEntry(each.id, Revision(0, 2), each) for each in newer]
+    harness.view.merge(entries)
+    harness.placer.set_locator(FakeDirectory([name_hash(holder.id)]))
+    loads = {name_hash(holder.id): EndpointLoad(5, 0.45)}
+    harness.placer.load.update_source("r2", loads)
+    result = await harness.placer.place(harness.context("p1"))
+    assert result.ok.endpoint in newer
+    assert result.ok.fetch_from != holder.address
+
+
 async def test_a_request_is_refused_when_all_engines_have_a_prefill_backlog():
     """Other routers have sent every engine more prompts than it can process in time.
 
