--- a/packages/fleet/tests/test_origins.py
+++ b/packages/fleet/tests/test_origins.py
@@ -17,7 +17,12 @@
 )
 from teaselledge_fleet.migration.resuming import decide_resumption
 from teaselledge_fleet.migration.versions import HISTORY_SECONDS, VersionHistory
-from teaselledge_fleet.process.endpoints import Endpoint
+from teaselledge_fleet.process.endpoints import (
+    Endpoint,
+    EndpointEntry,
+    EndpointView,
+)
+from teaselledge_fleet.process.revision import Revision
 from teaselledge_fleet.version.routes import RetryPolicy, Target
 from teaselledge_standins.routes import make_route
 from teaselledge_standins.spreadfleet import running_gossip_fleet
@@ -162,6 +167,59 @@
     return found, total
 
 
+async def test_an_origin_survives_its_zone():
+    """A zone's routers are lost together, with the one that began the stream."""
+    async with running_gossip_fleet(make_store([]), 9, decode_empty_routing) as fleet:
+        await asyncio.sleep(5.0)
+        lost, left = fleet.routers[::3], fleet.routers[1::3]
+        for key in range(30):
+            lost[key % len(lost)].origins.record(key, OLD)
+        await asyncio.sleep(0.2)
+        for router in lost:
+            router.kill()
+        found = [await left[key % len(left)].origins.find(key) for key in range(30)]
+    assert found == [OLD] * 30
+
+
+async def test_an_origin_is_found_after_routers_joined():
+    """Those that joined rank before the ones that keep the origins of some streams."""
+    async with running_gossip_fleet(make_store([]), 6, decode_empty_routing) as fleet:
+        await asyncio.sleep(5.0)
+        for key in range(60):
+            fleet.routers[0].origins.record(key, OLD)
+        await asyncio.sleep(0.2)
+        fleet.routers[0].kill()
+        for number in range(3):
+            seeds = ["r001:1", "r002:1"]
+            fleet.start(f"new{number}", f"z{number}", decode_empty_routing, seeds)
+        await asyncio.sleep(5.0)
+        asking = fleet.by_address["r001:1"].origins
+        found = [await asking.find(key) for key in range(60)]
+    assert found == [OLD] * 60
+
+
+async def test_a_router_that_does_not_answer_may_know_a_stream():
+    """The caller may come back to another router, which reaches it."""
+    async with running_gossip_fleet(make_store([]), 3, decode_empty_routing) as fleet:
+        await asyncio.sleep(5.0)
+        asking = fleet.routers[0].origins
+        assert await asking.find(1) is NotFound.UNKNOWN
+        for router in fleet.routers[1:]:
+            router.kill()
+        assert await asking.find(1) is NotFound.UNANSWERED
+
+
+def test_views_of_two_versions_differ():
+    """Routers whose views differ fetch a snapshot, should a datagram be lost."""
+    views = []
+    for version in ("v1", "v2"):
+        view = EndpointView()
+        entry = EndpointEntry("e0", Revision(0, 1), endpoints(version)[0])
+        view.merge([entry])
+        views.append(view)
+    assert views[0].digest != views[1].digest
+
+
 async def test_other_routers_know_what_a_killed_router_began():
     assert await find_all(9, 1, 0.0) == (20, 20)
     assert await find_all(40, 1, 0.0) == (20, 20)
--- a/packages/fleet/tests/test_versions.py
+++ b/packages/fleet/tests/test_versions.py
@@ -3,10 +3,10 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from teaselledge_fleet.process.endpoints import Endpoint
-from teaselledge_fleet.version.routes import RetryPolicy
+from teaselledge_fleet.version.routes import RetryPolicy, Target
 from teaselledge_standins.fleetrouters import RunningRouter, running_routers
 from teaselledge_standins.routes import (
     HOST,
@@ -97,6 +97,41 @@
     return [versions for versions in streams if len(set(versions)) > 1]
 
 
+@asynccontextmanager
+async def split_route() -> AsyncIterator[VersionedFleet]:
+    """Run routers before engines of two services of one version, on one route."""
+    services = ("books", "more")
+    async with AsyncExitStack() as stack:
+        engines = [
+            await stack.enter_async_context(VersionedEngine(service))
+            for service in services
+        ]
+        fleet = VersionedFleet([], engines)
+        endpoints = [
+            replace(fleet.endpoint(f"e{n}", "v1", n), service=service)
+            for n, service in enumerate(services)
+        ]
+        targets = tuple(Target(service) for service in services)
+        route = make_route(RetryPolicy.RESUME, stream=True, targets=targets)
+        running = running_routers(ROUTERS, make_routing(route), endpoints)
+        fleet.routers.extend(await stack.enter_async_context(running))
+        await asyncio.sleep(0.5)
+        yield fleet
+
+
+async def test_a_caller_takes_a_stream_up_at_its_service(split_route):
+    """The weights of a route draw a service for each attempt of a caller."""
+    for engine in split_route.engines:
+        engine.pause_after = RESUMED_EVENT
+    streams = []
+    for number in range(STREAMS):
+        event = await split_route.begin(0, f"q{number}")
+        response = await split_route.resume(1, f"q{number}")
+        streams.append(versions_of(event.encode() + response.body))
+    assert len({versions[0] for versions in streams}) == len(split_route.engines)
+    assert mixed(streams) == []
+
+
 async def test_a_broken_stream_goes_on_at_its_version(versioned_fleet):
     """A router went on at any engine; what two versions write doesn't fit together."""
     for engine in versioned_fleet.engines:
@@ -153,8 +188,9 @@
     response = await send_request(router.port, "POST", headers, b"prompt")
     assert len(versions_of(response.body)) == RESUMED_EVENT
     assert not response.complete
-    for endpoint in ("e1", "e2"):
-        versioned_fleet.store.delete(endpoint)
+    versioned_fleet.store.delete("e1")
+    leaving = replace(versioned_fleet.endpoint("e2", "v2", 1), leaving=True)
+    versioned_fleet.store.put(leaving)
     versioned_fleet.store.put(versioned_fleet.endpoint("e5", "v3", 0))
     await asyncio.sleep(1.5)
     again = await versioned_fleet.resume(1, "q1")
