Soak: requests that end their endpoints

A fault of the soak lets a caller try a request twelve times at all routers, without a pause; the endpoint that runs it ends with all its connections, and another one takes its address a second later.

--- a/packages/standins/src/teaselledge_standins/loopback.py
+++ b/packages/standins/src/teaselledge_standins/loopback.py
@@ -29,9 +29,9 @@
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def listen(self) -> None:
-        """Start listening."""
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+    async def listen(self, port: int = 0) -> None:
+        """Start listening, on a free port if none is given."""
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", port)
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
 
