--- a/tools/spread_cost.py
+++ b/tools/spread_cost.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 import loguru
+from teaselledge_fleet.migration.origins import StreamOrigin
 from teaselledge_fleet.process.endpoints import Endpoint
 from teaselledge_standins.spreadfleet import (
     GossipFleet,
@@ -39,6 +40,10 @@
 MAX_QUEUEING_SECONDS = 10.0
 """Maximum queueing time of a request; long enough for all to be admitted."""
 
+STREAM_KEY_BITS = 62
+VERSION = "v1.2"
+"""Every request is a stream that can be taken up, from an engine of this version."""
+
 ORGANISATION_COUNT = 60
 SETTLE_SECONDS = 8.0
 MEASURED_SECONDS = 8.0
@@ -102,6 +107,9 @@
         add(name, 1, PREFILL_SECONDS)
         loop.call_later(FIRST_BYTE_SECONDS, add, name, 0, -PREFILL_SECONDS)
         loop.call_later(REQUEST_SECONDS, add, name, -1, 0.0)
+        stream = random.getrandbits(STREAM_KEY_BITS)
+        origin = StreamOrigin(endpoint.service, VERSION)
+        loop.call_later(FIRST_BYTE_SECONDS, router.origins.record, stream, origin)
         await router.admission_rpc.request_admission(
             endpoint, PREFILL_SECONDS, MAX_QUEUEING_SECONDS
         )
