Look again whether an endpoint ends that still had connections

A process that ends on a busy VM closes its connections within milliseconds, not at once.

The probe now checks three times within 0.1 s. The new test fails without the change.

--- a/packages/fleet/src/teaselledge_fleet/quarantine/probing.py
+++ b/packages/fleet/src/teaselledge_fleet/quarantine/probing.py
@@ -8,8 +8,10 @@
 
 __all__ = ["EndpointProbe", "PoolProbe"]
 
-CLOSE_SECONDS = 0.005
-"""Time after the close of a connection in which the closes of the others are read."""
+CHECK_DELAYS_SECONDS = (0.005, 0.02, 0.075)
+"""Times before the checks, the first one after the close of a connection. On a busy VM
+a process that ends closes its connections and its listener within milliseconds, not at
+once."""
 
 
 class EndpointProbe(Protocol):
@@ -36,8 +38,11 @@
 
     async def has_ended(self, address: str) -> bool:
         """Whether the endpoint has no open connection and refuses a new one."""
-        await asyncio.sleep(CLOSE_SECONDS)
-        if self._pool.count(address):
-            return False
-        acquired = await self._pool.acquire(address, at_most_once=True)
-        return acquired.is_error() and acquired.error.fault is SendFault.REFUSED
+        for delay in CHECK_DELAYS_SECONDS:
+            await asyncio.sleep(delay)
+            if self._pool.count(address):
+                continue
+            acquired = await self._pool.acquire(address, at_most_once=True)
+            if acquired.is_error():
+                return acquired.error.fault is SendFault.REFUSED
+        return False
--- a/packages/fleet/tests/test_quarantine.py
+++ b/packages/fleet/tests/test_quarantine.py
@@ -259,6 +259,17 @@
     pool.close()
 
 
+async def test_an_endpoint_that_ends_within_some_milliseconds_has_ended():
+    """One connection closed 30 ms before the others, and a fourth endpoint ended."""
+    pool = ConnectionPool()
+    async with EndingEndpoint(is_fatal) as endpoint:
+        await pool.acquire(endpoint.address, True)
+        probing = asyncio.create_task(PoolProbe(pool).has_ended(endpoint.address))
+        await asyncio.sleep(0.03)
+    assert await probing
+    pool.close()
+
+
 class UnreachablePool:
     """Pool of a router whose packets get lost."""
 
