Give routers the reports of endpoints that ended which they missed

Cause: reports are sent three times each. A router that read the store before its first heartbeat arrived kept what the last repeats brought by chance: 2 of 3 reports in the trace. A router that was cut off while reports were sent never got them at all.

Ruled out: the probe (each end found within 10 ms) and the stand-in (no request after its end).

Change: heartbeats carry number and digest of the sender's reports, if there are any (8 to 10 bytes, none otherwise).

--- a/packages/fleet/src/teaselledge_fleet/process/gossip.py
+++ b/packages/fleet/src/teaselledge_fleet/process/gossip.py
@@ -56,7 +56,8 @@
 from teaselledge_fleet.process.sums import LoadTotals
 from teaselledge_fleet.process.topology import Scope, Topology
 from teaselledge_fleet.process.work import FleetLoad, name_hash
-from teaselledge_fleet.quarantine.records import EndRecords, EndReport
+from teaselledge_fleet.quarantine.reconciliation import EndReconciliation
+from teaselledge_fleet.quarantine.records import EndRecords, EndReport, EndSummary
 
 __all__ = ["Gossip"]
 
@@ -155,6 +156,9 @@
     def merge(self, reports: Iterable[EndReport]) -> None:
         """Add the reports of another router."""
 
+    def restore(self, reports: Iterable[EndReport]) -> int:
+        """Add reports that other routers know; return the number of new ones."""
+
 
 class Gossip:
     """Sends heartbeats to the other routers and applies those that it receives."""
@@ -205,7 +209,9 @@
         self._pending_ends: list[tuple[EndReport, int]] = []
         """Reports of endpoints that ended, each with the heartbeats still to carry it.
         """
+        self._reconciliation: EndReconciliation | None = None
         if quarantine is not None:
+            self._reconciliation = EndReconciliation(quarantine.records)
             quarantine.on_report = self._send_changes
             quarantine.on_suspicion = self.send_heartbeats
 
@@ -404,6 +410,9 @@
             zones=[_drain_to_wire(d) for d in store_cache.recent_drains] or None,
             ends=ends,
         )
+        summary = self._end_summary()
+        if summary.count:
+            heartbeat.ends_known, heartbeat.ends_digest = summary.count, summary.digest
         if alive:
             marks = [self._totals.mark(peer.vm) for peer in alive]
             heartbeat.alive_marks = pack_pulse_marks(marks)
@@ -516,7 +525,7 @@
         if newer and not forwarded:
             # report at once that the store was read, so that no other router reads it
             self._wake.set()
-        if self._is_behind(heartbeat):
+        if self._is_behind(heartbeat) or self._lacks_ends(heartbeat):
             self._fetch(sender)
 
     def _apply_changes(self, sender: Member, heartbeat: Pulse) -> None:
@@ -632,6 +641,25 @@
         age = store_cache.age
         return age is None or heartbeat.store_age / 1000 < age
 
+    def _end_summary(self) -> EndSummary:
+        """Return the summary of the reports of endpoints that ended."""
+        return self._quarantine.records.summary if self._quarantine else EndSummary()
+
+    def _lacks_ends(self, heartbeat: Pulse) -> bool:
+        """Whether to fetch the sender's reports of endpoints that ended."""
+        if self._reconciliation is None or not heartbeat.ends_known:
+            return False
+        summary = EndSummary(heartbeat.ends_known, heartbeat.ends_digest or 0)
+        return self._reconciliation.needs_fetch(summary)
+
+    def _restore_ends(self, ends: bytes | None) -> None:
+        """Apply the reports of endpoints that ended in a snapshot."""
+        if not ends or self._quarantine is None or self._reconciliation is None:
+            return
+        now = asyncio.get_running_loop().time()
+        found = self._quarantine.restore(unpack_end_reports(ends, now))
+        self._reconciliation.record_fetch(found)
+
     def _fetch(self, sender: Member) -> None:
         now = asyncio.get_running_loop().time()
         elapsed = now - self._fetched_at
@@ -660,7 +688,7 @@
             store_cache.update_configuration(state.configuration, vm)
         store_cache.merge_entries(map(_from_wire, state.endpoints or ()), vm)
         store_cache.merge_drains(map(_drain_from_wire, state.zones or ()), vm)
-        self._apply_ends(state.ends)
+        self._restore_ends(state.ends)
         if current and state.store_age is not None and state.store_age >= 0:
             store_cache.update_age(state.digest, state.store_age / 1000, vm)
         self._members.merge_report(MemberReport(Member.from_wire(state.sender), 0.0))
--- a/packages/fleet/src/teaselledge_fleet/quarantine/quarantine.py
+++ b/packages/fleet/src/teaselledge_fleet/quarantine/quarantine.py
@@ -119,6 +119,10 @@
         """Add the reports of another router, and pass on those that are new."""
         self._report(reports)
 
+    def restore(self, reports: Iterable[EndReport]) -> int:
+        """Add reports that other routers know; return the number of new ones."""
+        return len(self._add(reports))
+
     def pop_reports(self, count: int) -> list[EndReport]:
         """Return and forget the first of the reports for other routers."""
         popped, self._unsent = self._unsent[:count], self._unsent[count:]
@@ -147,18 +151,23 @@
 
     def _report(self, reports: Iterable[EndReport]) -> None:
         """Add reports; those that are new go to the other routers."""
-        reports = list(reports)
-        refused_before = self._refused(reports)
-        new = self._records.merge(reports)
+        new = self._add(reports)
         if not new:
             return
         self._unsent = [*self._unsent, *new][-MAX_UNSENT_REPORTS:]
-        refused = self._refused(reports) - refused_before
+        self.on_report()
+
+    def _add(self, reports: Iterable[EndReport]) -> list[EndReport]:
+        """Add reports and return the new ones."""
+        reports = list(reports)
+        refused_before = self._refused(reports)
+        new = self._records.merge(reports)
+        refused = self._refused(new) - refused_before
         for _ in refused:
             self._metrics.increment("contents_quarantined")
         if refused:
             _log.warning("content quarantined", contents=sorted(refused))
-        self.on_report()
+        return new
 
     def _refused(self, reports: Iterable[EndReport]) -> set[int]:
         """Return which of the contents in some reports are refused."""
--- a/packages/fleet/src/teaselledge_fleet/quarantine/records.py
+++ b/packages/fleet/src/teaselledge_fleet/quarantine/records.py
@@ -2,11 +2,19 @@
 
 import asyncio
 import math
+import struct
+import zlib
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-__all__ = ["MAX_ENDED_ENDPOINTS", "SERVED", "EndRecords", "EndReport"]
+__all__ = [
+    "MAX_ENDED_ENDPOINTS",
+    "SERVED",
+    "EndRecords",
+    "EndReport",
+    "EndSummary",
+]
 
 MAX_ENDED_ENDPOINTS = 3
 """Endpoints that may end one after another under a content before it is refused.
@@ -25,6 +33,12 @@
 """Time by which a report of the same service must be later to be passed on. Times of
 reports shift by some milliseconds with each router that passes them on."""
 
+SUMMARY_SECONDS = 1.0
+"""Time after which a summary is computed again, as reports expire."""
+
+SUMMARY_FORMAT = struct.Struct("!QI")
+MAX_INT32 = 0x7FFFFFFF
+
 SERVED = 0
 """Takes the place of the endpoint in the report of a content that was served."""
 
@@ -48,6 +62,22 @@
     at: float
 
 
+@dataclass(frozen=True)
+class EndSummary:
+    """What tells whether two routers have the same reports.
+
+    Attributes
+    ----------
+    count : int
+        Number of reports.
+    digest : int
+        Digest of 31 bits of their contents and endpoints.
+    """
+
+    count: int = 0
+    digest: int = 0
+
+
 @dataclass
 class _Content:
     ended_at: dict[int, float] = field(default_factory=dict)
@@ -72,6 +102,8 @@
     def __init__(self, clock: Callable[[], float] | None = None) -> None:
         self._clock = clock or (lambda: asyncio.get_running_loop().time())
         self._contents: OrderedDict[int, _Content] = OrderedDict()
+        self._summary = EndSummary()
+        self._summarised_at = -math.inf
 
     def __len__(self) -> int:
         return len(self._contents)
@@ -87,8 +119,22 @@
         ordered = sorted(self._contents, key=self.is_quarantined, reverse=True)
         return [report for content in ordered for report in self._rows(content)]
 
+    @property
+    def summary(self) -> EndSummary:
+        """Summary of the reports that count."""
+        now = self._clock()
+        if self._contents and now >= self._summarised_at + SUMMARY_SECONDS:
+            self._summary, self._summarised_at = self._summarise(), now
+        return self._summary
+
     def add(self, report: EndReport) -> bool:
         """Add a report; return whether it was new."""
+        is_new = self._add(report)
+        if is_new:
+            self._summarised_at = -math.inf
+        return is_new
+
+    def _add(self, report: EndReport) -> bool:
         if report.at < self._oldest:
             return False
         known = self._contents.setdefault(report.content, _Content())
@@ -141,6 +187,12 @@
         known.served_at = max(known.served_at, at)
         return news
 
+    def _summarise(self) -> EndSummary:
+        reports, digest = self.reports, 0
+        for each in reports:
+            digest ^= zlib.crc32(SUMMARY_FORMAT.pack(each.content, each.endpoint))
+        return EndSummary(len(reports), digest & MAX_INT32)
+
     def _evict(self) -> None:
         """Drop the contents that expired, and one more if there are too many."""
         while len(self._contents) > 1:
--- a/packages/fleet/tests/test_end_records.py
+++ b/packages/fleet/tests/test_end_records.py
@@ -10,6 +10,7 @@
 from teaselledge_fleet.process.endpoints import Endpoint
 from teaselledge_fleet.quarantine.content import content_hash
 from teaselledge_fleet.quarantine.quarantine import Quarantine
+from teaselledge_fleet.quarantine.reconciliation import EndReconciliation
 from teaselledge_fleet.quarantine.records import (
     MAX_CONTENTS,
     MAX_ENDED_ENDPOINTS,
@@ -17,12 +18,17 @@
     SERVED,
     EndRecords,
     EndReport,
+    EndSummary,
 )
 from teaselledge_fleet.request.call import CallerRequest
 from teaselledge_fleet.request.context import RequestContext
 from teaselledge_fleet.version.routes import RetryPolicy
 from teaselledge_standins.routes import make_route
-from teaselledge_standins.spreadfleet import running_gossip_fleet
+from teaselledge_standins.spreadfleet import (
+    GossipFleet,
+    GossipRouter,
+    running_gossip_fleet,
+)
 from teaselledge_standins.statestore import decode_empty_routing, make_store
 from tornado.httputil import HTTPHeaders
 
@@ -190,3 +196,86 @@
         await cut_off(quarantine, make_context(b"fatal"), number)
         await asyncio.sleep(0.1)
         assert len(reported) == expected
+
+
+async def test_reports_are_fetched_from_routers_that_know_others():
+    """Reports that are under way or expire would have cost a snapshot each."""
+    records, loop = EndRecords(), asyncio.get_running_loop()
+    reconciliation = EndReconciliation(records)
+    more, fewer = EndSummary(2, 12345), EndSummary(0, 0)
+    assert reconciliation.needs_fetch(more)
+    await asyncio.sleep(100.0)
+    assert records.add(EndReport(FATAL, 1, loop.time()))
+    assert not reconciliation.needs_fetch(records.summary)
+    asked = []
+    for _ in range(60):
+        assert not reconciliation.needs_fetch(fewer)
+        if reconciliation.needs_fetch(more):
+            asked.append(loop.time())
+            reconciliation.record_fetch(0)
+        await asyncio.sleep(0.25)
+    assert [round(at - asked[0], 2) for at in asked] == [0.0, 2.0, 8.0]
+    assert asked[0] == 102.0
+    # a difference that was seen once, long ago, is not one that lasts
+    await asyncio.sleep(100.0)
+    assert not reconciliation.needs_fetch(more)
+    # and neither is that to the state before a new report
+    await asyncio.sleep(2.0)
+    records.add(EndReport(FATAL, 2, loop.time()))
+    assert not reconciliation.needs_fetch(more)
+
+
+async def test_what_a_snapshot_brings_is_not_sent_on():
+    """A router that started again repeated all reports that it was given."""
+    quarantine = Quarantine(SlowProbe())
+    quarantine.on_report = quarantine.on_suspicion = lambda: 1 / 0
+    now = asyncio.get_running_loop().time()
+    assert quarantine.restore(EndReport(FATAL, n, now) for n in (1, 2, 3)) == 3
+    assert quarantine.records.is_quarantined(FATAL)
+    assert quarantine.pop_reports(1) == []
+
+
+def refusing_routers(fleet: GossipFleet) -> int:
+    """Return the number of routers that refuse the content."""
+    return sum(r.quarantine.records.is_quarantined(FATAL) for r in fleet.routers)
+
+
+def report_ends(router: GossipRouter) -> None:
+    """Let a router report that three endpoints ended."""
+    now = asyncio.get_running_loop().time()
+    router.quarantine.merge(
+        EndReport(FATAL, 1 + number, now) for number in range(MAX_ENDED_ENDPOINTS)
+    )
+
+
+async def test_routers_that_start_again_one_after_another_refuse_the_content():
+    """A router that read the store itself got no snapshot, and sent it to a fourth."""
+    store = make_store([])
+    async with running_gossip_fleet(store, 6, decode_empty_routing) as fleet:
+        await asyncio.sleep(5.0)
+        report_ends(fleet.routers[0])
+        await asyncio.sleep(2.0)
+        for router in list(fleet.routers):
+            router.kill()
+            await asyncio.sleep(0.5)
+            zone = router.members.own.zone
+            fleet.start(router.vm, zone, decode_empty_routing, ["r000:1", "r001:1"])
+            await asyncio.sleep(0.5)
+            assert refusing_routers(fleet) == len(fleet.routers), router.vm
+
+
+async def test_routers_that_were_cut_off_refuse_the_content():
+    """What others reported in the meantime was not sent again."""
+    store = make_store([])
+    async with running_gossip_fleet(store, 12, decode_empty_routing) as fleet:
+        await asyncio.sleep(5.0)
+        cut_off = {router.vm for router in fleet.routers[6:9]}
+        fleet.cut = lambda sender, receiver: (
+            (sender in cut_off) != (receiver in cut_off)
+        )
+        report_ends(fleet.routers[0])
+        await asyncio.sleep(3.0)
+        assert refusing_routers(fleet) == len(fleet.routers) - len(cut_off)
+        cut_off.clear()
+        await asyncio.sleep(4.0)
+        assert refusing_routers(fleet) == len(fleet.routers)
--- a/packages/wire/fleet.thrift
+++ b/packages/wire/fleet.thrift
@@ -92,6 +92,9 @@
   22: optional binary engine_slowdowns,
   // endpoints that ended while they had requests, and contents that were served, packed
   23: optional binary ends,
+  // number and digest of all reports like those in ends that the sender knows
+  24: optional i32 ends_known,
+  25: optional i32 ends_digest,
 }
 
 // Snapshot of the sender's full state, fetched by a router whose state is older.
@@ -107,7 +110,7 @@
   9: optional i32 era,
   // zones that are or were drained
   10: optional list<ZoneState> zones,
-  // the same as in Pulse, of all that counts
+  // the same as in Pulse, all that the sender knows
   11: optional binary ends,
 }
 
--- a/packages/wire/src/teaselledge_wire/gen/fleet/ttypes.py
+++ b/packages/wire/src/teaselledge_wire/gen/fleet/ttypes.py
@@ -546,6 +546,8 @@
      - slowdowns
      - engine_slowdowns
      - ends
+     - ends_known
+     - ends_digest
 
     """
 
@@ -573,10 +575,12 @@
         'slowdowns',
         'engine_slowdowns',
         'ends',
+        'ends_known',
+        'ends_digest',
     )
 
 
-    def __init__(self, protocol=None, sender=None, sequence=None, version=None, digest=None, store_age=None, follower=None, changes=None, scope=None, work=None, uses=None, others=None, alive=None, admitting=None, alive_ages=None, alive_marks=None, pass_to=None, hops=None, era=None, zones=None, slowdowns=None, engine_slowdowns=None, ends=None,):
+    def __init__(self, protocol=None, sender=None, sequence=None, version=None, digest=None, store_age=None, follower=None, changes=None, scope=None, work=None, uses=None, others=None, alive=None, admitting=None, alive_ages=None, alive_marks=None, pass_to=None, hops=None, era=None, zones=None, slowdowns=None, engine_slowdowns=None, ends=None, ends_known=None, ends_digest=None,):
         self.protocol = protocol
         self.sender = sender
         self.sequence = sequence
@@ -600,6 +604,8 @@
         self.slowdowns = slowdowns
         self.engine_slowdowns = engine_slowdowns
         self.ends = ends
+        self.ends_known = ends_known
+        self.ends_digest = ends_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -755,6 +761,16 @@
                     self.ends = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.I32:
+                    self.ends_known = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 25:
+                if ftype == TType.I32:
+                    self.ends_digest = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -872,6 +888,14 @@
             oprot.writeFieldBegin('ends', TType.STRING, 23)
             oprot.writeBinary(self.ends)
             oprot.writeFieldEnd()
+        if self.ends_known is not None:
+            oprot.writeFieldBegin('ends_known', TType.I32, 24)
+            oprot.writeI32(self.ends_known)
+            oprot.writeFieldEnd()
+        if self.ends_digest is not None:
+            oprot.writeFieldBegin('ends_digest', TType.I32, 25)
+            oprot.writeI32(self.ends_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2383,6 +2407,8 @@
     (21, TType.STRING, 'slowdowns', 'BINARY', None, ),  # 21
     (22, TType.STRING, 'engine_slowdowns', 'BINARY', None, ),  # 22
     (23, TType.STRING, 'ends', 'BINARY', None, ),  # 23
+    (24, TType.I32, 'ends_known', None, None, ),  # 24
+    (25, TType.I32, 'ends_digest', None, None, ),  # 25
 )
 all_structs.append(WholeState)
 WholeState.thrift_spec = (
