Let routers that were cut off send contents served meanwhile

What callers saw: none of them yet; found by asking what else a router that was cut off lacks. If a content with three ends is served in full, all routers forget them, but one that missed the report goes on to refuse the content for up to ten minutes: it knows more reports than the others, so it fetches none.

Evidence: test_routers_that_were_cut_off_send_the_content_that_was_served fails without the line that passes the report on.

--- a/packages/fleet/src/teaselledge_fleet/quarantine/quarantine.py
+++ b/packages/fleet/src/teaselledge_fleet/quarantine/quarantine.py
@@ -120,8 +120,17 @@
         self._report(reports)
 
     def restore(self, reports: Iterable[EndReport]) -> int:
-        """Add reports that other routers know; return the number of new ones."""
-        return len(self._add(reports))
+        """Add reports that another router knows; return the number of new ones.
+
+        What makes some of them outdated goes to the other routers again.
+        """
+        reports = list(reports)
+        new = self._add(reports)
+        ends = [report for report in reports if report.endpoint != SERVED]
+        served = {each for each in map(self._records.served_since, ends) if each}
+        if served:
+            self._pass_on(served)
+        return len(new)
 
     def pop_reports(self, count: int) -> list[EndReport]:
         """Return and forget the first of the reports for other routers."""
@@ -152,9 +161,12 @@
     def _report(self, reports: Iterable[EndReport]) -> None:
         """Add reports; those that are new go to the other routers."""
         new = self._add(reports)
-        if not new:
-            return
-        self._unsent = [*self._unsent, *new][-MAX_UNSENT_REPORTS:]
+        if new:
+            self._pass_on(new)
+
+    def _pass_on(self, reports: Iterable[EndReport]) -> None:
+        """Send reports to the other routers."""
+        self._unsent = [*self._unsent, *reports][-MAX_UNSENT_REPORTS:]
         self.on_report()
 
     def _add(self, reports: Iterable[EndReport]) -> list[EndReport]:
--- a/packages/fleet/src/teaselledge_fleet/quarantine/records.py
+++ b/packages/fleet/src/teaselledge_fleet/quarantine/records.py
@@ -151,6 +151,13 @@
         """Add reports and return the new ones."""
         return [report for report in reports if self.add(report)]
 
+    def served_since(self, report: EndReport) -> EndReport | None:
+        """Return the report of a content that was served after another report."""
+        known = self._contents.get(report.content)
+        if known is None or known.served_at < max(report.at, self._oldest):
+            return None
+        return EndReport(report.content, SERVED, known.served_at)
+
     def ended_count(self, content: int) -> int:
         """Return the number of endpoints that ended under a content."""
         return sum(each.endpoint != SERVED for each in self._rows(content))
--- a/packages/fleet/tests/test_end_records.py
+++ b/packages/fleet/tests/test_end_records.py
@@ -8,6 +8,7 @@
 
 from teaselledge_fleet.connection.figures import pack_end_reports, unpack_end_reports
 from teaselledge_fleet.process.endpoints import Endpoint
+from teaselledge_fleet.process.gossip import MAX_SNAPSHOT_END_REPORTS
 from teaselledge_fleet.quarantine.content import content_hash
 from teaselledge_fleet.quarantine.quarantine import Quarantine
 from teaselledge_fleet.quarantine.reconciliation import EndReconciliation
@@ -88,9 +89,13 @@
 
 
 def test_reports_are_forgotten(clock):
-    clock.records.merge(ends(FATAL, 1, 2, 3))
+    clock.records.merge(ends(FATAL, 1, 2))
+    assert clock.records.summary.count == 2
+    clock.records.merge(ends(FATAL, 3))
+    assert clock.records.summary.count == 3
     clock.now = RETENTION_SECONDS + 1.5
     assert not clock.records.is_quarantined(FATAL)
+    assert clock.records.summary.count == 2
     clock.records.merge([EndReport(OTHER, 1, clock.now)])
     clock.now += RETENTION_SECONDS
     assert not clock.records.merge(ends(FATAL, 1, 2, 3))
@@ -232,6 +237,9 @@
     now = asyncio.get_running_loop().time()
     assert quarantine.restore(EndReport(FATAL, n, now) for n in (1, 2, 3)) == 3
     assert quarantine.records.is_quarantined(FATAL)
+    assert quarantine.restore([EndReport(OTHER, SERVED, now)]) == 1
+    assert quarantine.restore([EndReport(OTHER, SERVED, now - 1.0)]) == 0
+    assert quarantine.restore([EndReport(OTHER, 1, now + 1.0)]) == 1
     assert quarantine.pop_reports(1) == []
 
 
@@ -279,3 +287,56 @@
         cut_off.clear()
         await asyncio.sleep(4.0)
         assert refusing_routers(fleet) == len(fleet.routers)
+
+
+async def test_routers_that_were_cut_off_send_the_content_that_was_served():
+    """They would have refused it until its reports expired."""
+    store = make_store([])
+    async with running_gossip_fleet(store, 6, decode_empty_routing) as fleet:
+        await asyncio.sleep(5.0)
+        report_ends(fleet.routers[0])
+        await asyncio.sleep(2.0)
+        cut_off = {"r004"}
+        fleet.cut = lambda sender, receiver: bool(cut_off & {sender, receiver})
+        now = asyncio.get_running_loop().time()
+        fleet.routers[1].quarantine.merge([EndReport(FATAL, SERVED, now)])
+        await asyncio.sleep(3.0)
+        assert refusing_routers(fleet) == len(cut_off)
+        cut_off.clear()
+        await asyncio.sleep(8.0)
+        assert refusing_routers(fleet) == 0
+
+
+async def test_routers_that_start_together_learn_the_reports_of_one():
+    """They may ask one another first, which know nothing yet."""
+    store = make_store([])
+    async with running_gossip_fleet(store, 12, decode_empty_routing) as fleet:
+        await asyncio.sleep(5.0)
+        report_ends(fleet.routers[0])
+        await asyncio.sleep(2.0)
+        for router in list(fleet.routers[1:]):
+            router.kill()
+        for router in list(fleet.routers[1:]):
+            zone = router.members.own.zone
+            fleet.start(router.vm, zone, decode_empty_routing, ["r000:1", "r001:1"])
+        for router in fleet.routers[1:]:
+            assert await router.gossip.fetch_snapshot("r007:1")
+        await asyncio.sleep(1.0)
+        assert refusing_routers(fleet) == len(fleet.routers)
+
+
+async def test_reports_that_do_not_fit_a_snapshot_cost_few_snapshots():
+    """Routers that can't become equal would have fetched one each second."""
+    store = make_store([])
+    async with running_gossip_fleet(store, 2, decode_empty_routing) as fleet:
+        knowing, lacking = fleet.routers
+        now = asyncio.get_running_loop().time()
+        knowing.quarantine.restore(
+            EndReport(content, 1, now)
+            for content in range(MAX_SNAPSHOT_END_REPORTS + 100)
+        )
+        snapshot, fetches = knowing.gossip.snapshot, []
+        knowing.gossip.snapshot = lambda: fetches.append(True) or snapshot()
+        await asyncio.sleep(120.0)
+        assert lacking.quarantine.records.summary.count == MAX_SNAPSHOT_END_REPORTS
+        assert 3 <= len(fetches) <= 8
