Let stand-in servers accept bursts of connections

Cause: the stand-in's accept queue held 100 connections. 550 requests come within about a second; with the processor busy the system drops connections that do not fit, they are made again a second later, and the router gives up after half a second with 503, which is right.

--- a/packages/standins/src/teaselledge_standins/loopback.py
+++ b/packages/standins/src/teaselledge_standins/loopback.py
@@ -8,6 +8,10 @@
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 """Serves one connection, which is closed afterwards."""
 
+ACCEPT_QUEUE = 1024
+"""Connections that wait to be accepted. Those of a burst that does not fit are made a
+second later, after the time that a router waits for them."""
+
 
 class LoopbackServer:
     """Serves each connection in its own task.
@@ -33,7 +37,9 @@
     async def listen(self, port: int = 0) -> None:
         """Start listening, on a free port if none is given."""
         self._closed = False
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", port)
+        self._server = await asyncio.start_server(
+            self._accept, "127.0.0.1", port, backlog=ACCEPT_QUEUE
+        )
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
 
