Retry less in the first window after a router's start

What callers saw: repeats beyond the budget, if routers are started again while an engine fails.

Cause: a process counts from nothing what its predecessor has spent. Base retries are spent once by each process, and the part that follows from requests is spent once more by the successors within the same window.

Change: within the window after its start a router uses only what the safety factor leaves of the ratio, 0.05 for each request in place of 0.15, and three tenths of that of the base retries. Nothing is shared, so that it also holds if all routers start at once or can't communicate.

The test of serving that uses up a budget sets the start of its router, as it counts on the whole budget; its bounds are the same.

--- a/packages/fleet/src/teaselledge_fleet/process/budget.py
+++ b/packages/fleet/src/teaselledge_fleet/process/budget.py
@@ -6,6 +6,10 @@
 
 __all__ = ["RetryBudget", "RetryLimits"]
 
+STARTING_FRACTION = 0.3
+"""Fraction of the base retries that a router may use in the window after its start, of
+which there may be several in a window."""
+
 
 @dataclass(frozen=True)
 class RetryLimits:
@@ -36,14 +40,25 @@
     When a service fails, each request would go to several endpoints, and the load of
     the retries would keep the service down after it has recovered. Each router has its
     own budget: its own requests times the ratio, and an equal share of the base
-    retries. The budgets add up to that of the fleet, even if routers can't communicate.
+    retries. The budgets add up to that of the fleet, even if routers can't communicate
+    or are started again.
+
+    Parameters
+    ----------
+    limits : RetryLimits, optional
+        Limits of the whole fleet.
+    started : float, optional
+        Loop time at which this router was started, the present by default.
     """
 
-    def __init__(self, limits: RetryLimits | None = None) -> None:
+    def __init__(
+        self, limits: RetryLimits | None = None, started: float | None = None
+    ) -> None:
         self._limits = limits or RetryLimits()
         self._first_attempts: defaultdict[str, deque[float]] = defaultdict(deque)
         self._retries: defaultdict[str, deque[float]] = defaultdict(deque)
         self._router_count = 1
+        self._started = self._now() if started is None else started
 
     def set_limits(self, limits: RetryLimits) -> None:
         """Apply other limits."""
@@ -67,7 +82,12 @@
         first_attempts = self._count_in_window(self._first_attempts[service], now)
         retries = self._count_in_window(self._retries[service], now)
         router_base_retries = limits.base_retries / self._router_count
-        if retries + 1 > limits.safety_factor * (
+        used_fraction = limits.safety_factor
+        if now < self._started + limits.window:
+            # its predecessor may have used all that the fraction allows
+            used_fraction = 1 - limits.safety_factor
+            router_base_retries *= STARTING_FRACTION
+        if retries + 1 > used_fraction * (
             limits.ratio * first_attempts + router_base_retries
         ):
             return False
--- a/packages/fleet/tests/test_serving.py
+++ b/packages/fleet/tests/test_serving.py
@@ -1,6 +1,7 @@
 """Tests of forwarding a request and its response over real connections."""
 
 import asyncio
+import math
 import socket
 
 from teaselledge_fleet.process.budget import RetryBudget, RetryLimits
@@ -294,7 +295,8 @@
     async with ScriptedEndpoint(failing) as first, ScriptedEndpoint(failing) as second:
         route = make_route(RetryPolicy.ANY)
         async with running_route(route, first.address, second.address) as served:
-            served.server._budget = RetryBudget(RetryLimits(0.2, 4.0, 10.0, 1.0))
+            limits = RetryLimits(0.2, 4.0, 10.0, 1.0)
+            served.server._budget = RetryBudget(limits, started=-math.inf)
             for _ in range(30):
                 await send_request(served.port)
     assert 4 <= len(second.received) <= 0.2 * 30 + 4
