--- a/packages/fleet/src/teaselledge_fleet/process/gossip.py
+++ b/packages/fleet/src/teaselledge_fleet/process/gossip.py
@@ -5,7 +5,6 @@
 import math
 import random
 from collections.abc import Callable, Iterable
-from typing import Protocol
 
 from teaselledge_wire.gen.fleet.ttypes import (
     EndpointState,
@@ -17,7 +16,6 @@
 
 from teaselledge_fleet.connection.codec import PROTOCOL
 from teaselledge_fleet.connection.figures import (
-    pack_end_reports,
     pack_engine_slowdowns,
     pack_loads,
     pack_member_ages,
@@ -25,7 +23,6 @@
     pack_pulse_marks,
     pack_slowdowns,
     pack_usage,
-    unpack_end_reports,
     unpack_loads,
     unpack_member_statuses,
     unpack_pulse_marks,
@@ -56,8 +53,7 @@
 from teaselledge_fleet.process.sums import LoadTotals
 from teaselledge_fleet.process.topology import Scope, Topology
 from teaselledge_fleet.process.work import FleetLoad, name_hash
-from teaselledge_fleet.quarantine.reconciliation import EndReconciliation
-from teaselledge_fleet.quarantine.records import EndRecords, EndReport, EndSummary
+from teaselledge_fleet.quarantine.spreading import EndSpreading
 
 __all__ = ["Gossip"]
 
@@ -74,15 +70,6 @@
 """Maximum of changed entries in one datagram. Each takes about 80 bytes, and datagrams
 of more than 1,400 bytes would be fragmented."""
 
-MAX_END_REPORTS_PER_HEARTBEAT = 16
-"""Maximum of reports of endpoints that ended in one datagram, 16 bytes each."""
-
-MAX_PENDING_END_REPORTS = 64
-"""Maximum of such reports that wait to be sent again."""
-
-MAX_SNAPSHOT_END_REPORTS = 2000
-"""Maximum of such reports in a snapshot, 32 KB."""
-
 CHANGE_SEND_COUNT = 3
 """Heartbeats that carry the same change, in case some of them are lost."""
 
@@ -132,34 +119,6 @@
 """Maximum number of concurrent fetches."""
 
 
-class EndReportExchange(Protocol):
-    """Collects reports of endpoints that ended.
-
-    Attributes
-    ----------
-    on_report : callable
-        Called when there are reports for other routers.
-    on_suspicion : callable
-        Called when they must be sent without any delay.
-    """
-
-    on_report: Callable[[], None]
-    on_suspicion: Callable[[], None]
-
-    @property
-    def records(self) -> EndRecords:
-        """All reports that count."""
-
-    def pop_reports(self, count: int) -> list[EndReport]:
-        """Return and forget the first of the reports for other routers."""
-
-    def merge(self, reports: Iterable[EndReport]) -> None:
-        """Add the reports of another router."""
-
-    def restore(self, reports: Iterable[EndReport]) -> int:
-        """Add reports that other routers know; return the number of new ones."""
-
-
 class Gossip:
     """Sends heartbeats to the other routers and applies those that it receives."""
 
@@ -174,9 +133,9 @@
         prefill: PrefillModel,
         socket: PeerTransport,
         coordinators: Coordinators,
+        ends: EndSpreading,
         stalls: StallDetector | None = None,
         engine_speeds: EngineSpeeds | None = None,
-        quarantine: EndReportExchange | None = None,
     ) -> None:
         self._members = members
         self._store_cache = store_cache
@@ -205,15 +164,8 @@
         self.on_membership_change: Callable[[], None] = lambda: None
         self._resends_left = 0
         store_cache.on_change.append(self._send_changes)
-        self._quarantine = quarantine
-        self._pending_ends: list[tuple[EndReport, int]] = []
-        """Reports of endpoints that ended, each with the heartbeats still to carry it.
-        """
-        self._reconciliation: EndReconciliation | None = None
-        if quarantine is not None:
-            self._reconciliation = EndReconciliation(quarantine.records)
-            quarantine.on_report = self._send_changes
-            quarantine.on_suspicion = self.send_heartbeats
+        self._ends = ends
+        ends.connect(self._send_changes, self.send_heartbeats)
 
     def set_seeds(self, seeds: Iterable[str]) -> None:
         """Replace the seeds."""
@@ -250,7 +202,9 @@
         self._stalls.tick()
         self._advertised_log.update()
         self._extrapolate_load()
-        changes, ends = self._next_changes(), self._next_ends()
+        changes, ends = self._next_changes(), self._ends.next_reports()
+        if self._ends.has_more:
+            self._wake.set()
         self._rounds += 1
         totals_due = self._totals_due()
         for group in self._topology.recipient_groups():
@@ -279,15 +233,9 @@
             [report.to_wire() for report in self._members.reports],
             store_cache.era,
             [_drain_to_wire(drain) for drain in store_cache.drained_zones],
-            self._end_snapshot(),
+            self._ends.snapshot(),
         )
 
-    def _end_snapshot(self) -> bytes | None:
-        if self._quarantine is None:
-            return None
-        reports = self._quarantine.records.reports[:MAX_SNAPSHOT_END_REPORTS]
-        return pack_end_reports(reports, asyncio.get_running_loop().time())
-
     async def fetch_snapshot(self, address: str) -> bool:
         """Fetch and apply the snapshot of another router; False if that failed."""
         fetched = await self._client.fetch(address)
@@ -356,26 +304,6 @@
         self._totals_sent += 1
         return True
 
-    def _next_ends(self) -> bytes | None:
-        """Return the reports of endpoints that ended for this round's heartbeats."""
-        if self._quarantine is None:
-            return None
-        new = self._quarantine.pop_reports(MAX_END_REPORTS_PER_HEARTBEAT)
-        pending = [(report, CHANGE_SEND_COUNT) for report in new] + self._pending_ends
-        if not pending:
-            return None
-        now, later = (
-            pending[:MAX_END_REPORTS_PER_HEARTBEAT],
-            pending[MAX_END_REPORTS_PER_HEARTBEAT:],
-        )
-        resent = [(report, left - 1) for report, left in now if left > 1]
-        self._pending_ends = (later + resent)[:MAX_PENDING_END_REPORTS]
-        if len(new) == MAX_END_REPORTS_PER_HEARTBEAT:
-            self._wake.set()
-        return pack_end_reports(
-            [report for report, _ in now], asyncio.get_running_loop().time()
-        )
-
     def _make_heartbeat(
         self, scope: Scope, changes: list[EndpointState], ends: bytes | None = None
     ) -> Pulse:
@@ -410,9 +338,7 @@
             zones=[_drain_to_wire(d) for d in store_cache.recent_drains] or None,
             ends=ends,
         )
-        summary = self._end_summary()
-        if summary.count:
-            heartbeat.ends_known, heartbeat.ends_digest = summary.count, summary.digest
+        self._ends.write_summary(heartbeat)
         if alive:
             marks = [self._totals.mark(peer.vm) for peer in alive]
             heartbeat.alive_marks = pack_pulse_marks(marks)
@@ -514,7 +440,7 @@
         store_cache = self._store_cache
         before = store_cache.as_of
         self._apply_changes(sender, heartbeat)
-        self._apply_ends(heartbeat.ends)
+        lacks_ends = self._ends.apply(heartbeat)
         self._apply_statuses(sender, heartbeat)
         if heartbeat.work is not None or heartbeat.uses is not None:
             self._apply_load(sender, heartbeat)
@@ -525,7 +451,7 @@
         if newer and not forwarded:
             # report at once that the store was read, so that no other router reads it
             self._wake.set()
-        if self._is_behind(heartbeat) or self._lacks_ends(heartbeat):
+        if self._is_behind(heartbeat) or lacks_ends:
             self._fetch(sender)
 
     def _apply_changes(self, sender: Member, heartbeat: Pulse) -> None:
@@ -541,12 +467,6 @@
                 heartbeat.digest, heartbeat.store_age / 1000, heartbeat.follower or ""
             )
 
-    def _apply_ends(self, ends: bytes | None) -> None:
-        """Apply reports of endpoints that ended."""
-        if ends and self._quarantine is not None:
-            now = asyncio.get_running_loop().time()
-            self._quarantine.merge(unpack_end_reports(ends, now))
-
     def _update_era(self, era: int | None, source: str) -> bool:
         """Apply a router's store era; False if the store was restored since then."""
         return era is None or self._store_cache.update_era(era, source)
@@ -641,25 +561,6 @@
         age = store_cache.age
         return age is None or heartbeat.store_age / 1000 < age
 
-    def _end_summary(self) -> EndSummary:
-        """Return the summary of the reports of endpoints that ended."""
-        return self._quarantine.records.summary if self._quarantine else EndSummary()
-
-    def _lacks_ends(self, heartbeat: Pulse) -> bool:
-        """Whether to fetch the sender's reports of endpoints that ended."""
-        if self._reconciliation is None or not heartbeat.ends_known:
-            return False
-        summary = EndSummary(heartbeat.ends_known, heartbeat.ends_digest or 0)
-        return self._reconciliation.needs_fetch(summary)
-
-    def _restore_ends(self, ends: bytes | None) -> None:
-        """Apply the reports of endpoints that ended in a snapshot."""
-        if not ends or self._quarantine is None or self._reconciliation is None:
-            return
-        now = asyncio.get_running_loop().time()
-        found = self._quarantine.restore(unpack_end_reports(ends, now))
-        self._reconciliation.record_fetch(found)
-
     def _fetch(self, sender: Member) -> None:
         now = asyncio.get_running_loop().time()
         elapsed = now - self._fetched_at
@@ -688,7 +589,7 @@
             store_cache.update_configuration(state.configuration, vm)
         store_cache.merge_entries(map(_from_wire, state.endpoints or ()), vm)
         store_cache.merge_drains(map(_drain_from_wire, state.zones or ()), vm)
-        self._restore_ends(state.ends)
+        self._ends.restore(state.ends)
         if current and state.store_age is not None and state.store_age >= 0:
             store_cache.update_age(state.digest, state.store_age / 1000, vm)
         self._members.merge_report(MemberReport(Member.from_wire(state.sender), 0.0))
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -49,6 +49,7 @@
 from teaselledge_fleet.process.work import name_hash
 from teaselledge_fleet.quarantine.probing import PoolProbe
 from teaselledge_fleet.quarantine.quarantine import Quarantine
+from teaselledge_fleet.quarantine.spreading import EndSpreading
 from teaselledge_fleet.request.call import HeaderCodec
 from teaselledge_fleet.request.serving import RequestProxy
 from teaselledge_fleet.version.residency import ANYWHERE
@@ -203,8 +204,8 @@
             self._placer.prefill,
             self._socket,
             coordinators,
+            EndSpreading(self._quarantine),
             engine_speeds=self._placer.engine_speeds,
-            quarantine=self._quarantine,
         )
         self._gossip.on_membership_change = self._update_router_count
         self._shutdown = GracefulShutdown(
--- a/packages/fleet/tests/test_end_records.py
+++ b/packages/fleet/tests/test_end_records.py
@@ -8,7 +8,6 @@
 
 from teaselledge_fleet.connection.figures import pack_end_reports, unpack_end_reports
 from teaselledge_fleet.process.endpoints import Endpoint
-from teaselledge_fleet.process.gossip import MAX_SNAPSHOT_END_REPORTS
 from teaselledge_fleet.quarantine.content import content_hash
 from teaselledge_fleet.quarantine.quarantine import Quarantine
 from teaselledge_fleet.quarantine.reconciliation import EndReconciliation
@@ -21,6 +20,7 @@
     EndReport,
     EndSummary,
 )
+from teaselledge_fleet.quarantine.spreading import MAX_SNAPSHOT_REPORTS
 from teaselledge_fleet.request.call import CallerRequest
 from teaselledge_fleet.request.context import RequestContext
 from teaselledge_fleet.version.routes import RetryPolicy
@@ -332,11 +332,10 @@
         knowing, lacking = fleet.routers
         now = asyncio.get_running_loop().time()
         knowing.quarantine.restore(
-            EndReport(content, 1, now)
-            for content in range(MAX_SNAPSHOT_END_REPORTS + 100)
+            EndReport(content, 1, now) for content in range(MAX_SNAPSHOT_REPORTS + 100)
         )
         snapshot, fetches = knowing.gossip.snapshot, []
         knowing.gossip.snapshot = lambda: fetches.append(True) or snapshot()
         await asyncio.sleep(120.0)
-        assert lacking.quarantine.records.summary.count == MAX_SNAPSHOT_END_REPORTS
+        assert lacking.quarantine.records.summary.count == MAX_SNAPSHOT_REPORTS
         assert 3 <= len(fetches) <= 8
--- a/packages/standins/src/teaselledge_standins/spreadfleet.py
+++ b/packages/standins/src/teaselledge_standins/spreadfleet.py
@@ -30,6 +30,7 @@
 from teaselledge_fleet.process.warmup import WarmupTracker
 from teaselledge_fleet.process.work import FleetLoad
 from teaselledge_fleet.quarantine.quarantine import Quarantine
+from teaselledge_fleet.quarantine.spreading import EndSpreading
 from teaselledge_fleet.queueing.settings import QueueSettings
 from teaselledge_wire.gen.fleet.ttypes import WholeState
 
@@ -210,9 +211,9 @@
             placer.prefill,
             link,
             coordinators,
+            EndSpreading(quarantine),
             StallDetector(clock),
             placer.engine_speeds,
-            quarantine,
         )
         gossip._client = link  # type: ignore[assignment]
         admission_rpc = AdmissionRpc(
