--- a/packages/fleet/tests/test_end_records.py
+++ b/packages/fleet/tests/test_end_records.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+from collections import Counter
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
@@ -20,7 +21,13 @@
     EndReport,
     EndSummary,
 )
-from teaselledge_fleet.quarantine.spreading import MAX_SNAPSHOT_REPORTS
+from teaselledge_fleet.quarantine.spreading import (
+    MAX_PENDING_REPORTS,
+    MAX_REPORTS_PER_HEARTBEAT,
+    MAX_SNAPSHOT_REPORTS,
+    SEND_COUNT,
+    EndSpreading,
+)
 from teaselledge_fleet.request.call import CallerRequest
 from teaselledge_fleet.request.context import RequestContext
 from teaselledge_fleet.version.routes import RetryPolicy
@@ -339,3 +346,43 @@
         await asyncio.sleep(120.0)
         assert lacking.quarantine.records.summary.count == MAX_SNAPSHOT_REPORTS
         assert 3 <= len(fetches) <= 8
+
+
+async def sent_counts(reports: int) -> tuple[Counter[int], list[bool]]:
+    """Return how often each report is sent, and when more heartbeats were asked for."""
+    quarantine = Quarantine(SlowProbe())
+    spreading, now = EndSpreading(quarantine), asyncio.get_running_loop().time()
+    quarantine.merge(EndReport(content, 1, now) for content in range(reports))
+    counts, asked = Counter[int](), []
+    while (packed := spreading.next_reports()) is not None:
+        rows = unpack_end_reports(packed, now)
+        assert len(rows) <= MAX_REPORTS_PER_HEARTBEAT
+        counts.update(row.content for row in rows)
+        asked.append(spreading.has_more)
+    return counts, asked
+
+
+async def test_each_report_is_sent_some_times():
+    """Lost datagrams must not hide an end, nor a large crash delay the heartbeats."""
+    counts, asked = await sent_counts(40)
+    assert counts == dict.fromkeys(range(40), SEND_COUNT)
+    assert asked == [True, True] + [False] * 6
+    counts, _ = await sent_counts(400)
+    assert set(counts) == set(range(400))
+    assert counts.total() <= 400 + SEND_COUNT * MAX_PENDING_REPORTS
+
+
+async def test_the_second_end_reaches_the_others_before_the_next_heartbeat():
+    store = make_store([])
+    async with running_gossip_fleet(store, 6, decode_empty_routing) as fleet:
+        await asyncio.sleep(5.0)
+        reporting, content = fleet.routers[0], content_hash(make_context(b"fatal"))
+        await cut_off(reporting.quarantine, make_context(b"fatal"), 1)
+        await asyncio.sleep(2.0)
+        # other news was sent a moment ago, so that the next heartbeat has to wait
+        reporting.quarantine.merge([EndReport(OTHER, 1, 0.0)])
+        await asyncio.sleep(0.001)
+        await cut_off(reporting.quarantine, make_context(b"fatal"), 2)
+        await asyncio.sleep(fleet.delay + 0.005)
+        known = [r.quarantine.records.ended_count(content) for r in fleet.routers]
+    assert known == [2] * len(fleet.routers)
