Divide the base retries by the seeds until other routers are heard of

A router that starts counts itself only, until the first heartbeat of another one arrives, and for as long as it is cut off from them all: it then allowed itself the base retries of the whole fleet, 50 in place of 50 / 3 in the test.

Change: the budget begins with the number of seeds in the router's settings, with itself. More routers that are heard of still raise it.

Evidence: test_an_isolated_router_uses_its_part_of_the_retries_only fails without it (1 router known of 3).

--- a/packages/fleet/src/teaselledge_fleet/process/budget.py
+++ b/packages/fleet/src/teaselledge_fleet/process/budget.py
@@ -49,17 +49,27 @@
         Limits of the whole fleet.
     started : float, optional
         Loop time at which this router was started, the present by default.
+    router_count : int
+        Number of routers that it knows without having heard of any.
     """
 
     def __init__(
-        self, limits: RetryLimits | None = None, started: float | None = None
+        self,
+        limits: RetryLimits | None = None,
+        started: float | None = None,
+        router_count: int = 1,
     ) -> None:
         self._limits = limits or RetryLimits()
         self._first_attempts: defaultdict[str, deque[float]] = defaultdict(deque)
         self._retries: defaultdict[str, deque[float]] = defaultdict(deque)
-        self._router_count = 1
+        self._router_count = router_count
         self._started = self._now() if started is None else started
 
+    @property
+    def router_count(self) -> int:
+        """Number of routers among which the base retries are divided."""
+        return self._router_count
+
     def set_limits(self, limits: RetryLimits) -> None:
         """Apply other limits."""
         self._limits = limits
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -140,7 +140,10 @@
         self._store_cache = StoreCache(place.vm, decode, warmup)
         self._send_buffers = SendBuffers(_send_buffer_limits(settings))
         self._pool = ConnectionPool(send_buffers=self._send_buffers)
-        self._budget = RetryBudget(_retry_limits(settings))
+        self._budget = RetryBudget(
+            _retry_limits(settings),
+            router_count=len({*settings.seeds, settings.listeners.peers}),
+        )
         self._placer = FleetPlacer(
             self._store_cache.view,
             place.zone,
