--- a/tools/capacity_page.py
+++ b/tools/capacity_page.py
@@ -175,8 +175,8 @@
 | sudtrag-hq, all days | none lower by 0.03 | gate passed; 0.835, 0.668, 0.571, 0.669, \
 0.592, and 0.653, 0.669, 0.696 in three plays of trouble-3 (0.665, 0.685 on afae89a) |
 | busiest router's control bytes at 89 / 195 / 370 routers, virtual clock | 7 KB/s | \
-8.5 / not run / not run; 8.2 at 89 without the origins of streams; 7.5 / 7.9 / 26 \
-KB/s before |
+8.5 / 9.0 / not run to its end; 8.2 at 89 without the origins of streams; 7.5 / 7.9 \
+/ 26 KB/s before |
 | a change known everywhere, 195 routers, one datagram of ten lost, virtual clock | \
 1 s at p99 | 0.56 s |
 | processor time for control | 1.9 % of a core | not measured by itself; start and \
