--- a/packages/fleet/tests/test_end_records.py
+++ b/packages/fleet/tests/test_end_records.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import itertools
-import random
-from collections import Counter
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
@@ -21,23 +19,10 @@
     EndReport,
     EndSummary,
 )
-from teaselledge_fleet.quarantine.spreading import (
-    MAX_PENDING_REPORTS,
-    MAX_REPORTS_PER_HEARTBEAT,
-    MAX_SNAPSHOT_REPORTS,
-    SEND_COUNT,
-    EndSpreading,
-)
 from teaselledge_fleet.request.call import CallerRequest
 from teaselledge_fleet.request.context import RequestContext
 from teaselledge_fleet.version.routes import RetryPolicy
 from teaselledge_standins.routes import make_route
-from teaselledge_standins.spreadfleet import (
-    GossipFleet,
-    GossipRouter,
-    running_gossip_fleet,
-)
-from teaselledge_standins.statestore import decode_empty_routing, make_store
 from tornado.httputil import HTTPHeaders
 
 VIRTUAL_CLOCK = True
@@ -179,24 +164,6 @@
     assert quarantine.fault(context) is None
 
 
-async def test_all_routers_of_a_large_fleet_refuse_the_content():
-    """Reports of three routers reach each other one, though datagrams are lost."""
-    routers = 40
-    store = make_store([])
-    async with running_gossip_fleet(store, routers, decode_empty_routing) as fleet:
-        await asyncio.sleep(5.0)
-        fleet.rng, fleet.loss = random.Random(3), 0.05
-        for number in range(MAX_ENDED_ENDPOINTS):
-            reporting = fleet.routers[7 * number].quarantine
-            now = asyncio.get_running_loop().time()
-            reporting.merge([EndReport(FATAL, 1 + number, now)])
-        await asyncio.sleep(1.0)
-        refusing = [
-            each.quarantine.records.is_quarantined(FATAL) for each in fleet.routers
-        ]
-    assert sum(refusing) == routers
-
-
 async def test_the_second_end_is_reported_without_delay():
     """The caller's next attempt was faster than the next heartbeat, and ended a fourth.
 
@@ -248,141 +215,3 @@
     assert quarantine.restore([EndReport(OTHER, SERVED, now - 1.0)]) == 0
     assert quarantine.restore([EndReport(OTHER, 1, now + 1.0)]) == 1
     assert quarantine.pop_reports(1) == []
-
-
-def refusing_routers(fleet: GossipFleet) -> int:
-    """Return the number of routers that refuse the content."""
-    return sum(r.quarantine.records.is_quarantined(FATAL) for r in fleet.routers)
-
-
-def report_ends(router: GossipRouter) -> None:
-    """Let a router report that three endpoints ended."""
-    now = asyncio.get_running_loop().time()
-    router.quarantine.merge(
-        EndReport(FATAL, 1 + number, now) for number in range(MAX_ENDED_ENDPOINTS)
-    )
-
-
-async def test_routers_that_start_again_one_after_another_refuse_the_content():
-    """A router that read the store itself got no snapshot, and sent it to a fourth."""
-    store = make_store([])
-    async with running_gossip_fleet(store, 6, decode_empty_routing) as fleet:
-        await asyncio.sleep(5.0)
-        report_ends(fleet.routers[0])
-        await asyncio.sleep(2.0)
-        for router in list(fleet.routers):
-            router.kill()
-            await asyncio.sleep(0.5)
-            zone = router.members.own.zone
-            fleet.start(router.vm, zone, decode_empty_routing, ["r000:1", "r001:1"])
-            await asyncio.sleep(0.5)
-            assert refusing_routers(fleet) == len(fleet.routers), router.vm
-
-
-async def test_routers_that_were_cut_off_refuse_the_content():
-    """What others reported in the meantime was not sent again."""
-    store = make_store([])
-    async with running_gossip_fleet(store, 12, decode_empty_routing) as fleet:
-        await asyncio.sleep(5.0)
-        cut_off = {router.vm for router in fleet.routers[6:9]}
-        fleet.cut = lambda sender, receiver: (
-            (sender in cut_off) != (receiver in cut_off)
-        )
-        report_ends(fleet.routers[0])
-        await asyncio.sleep(3.0)
-        assert refusing_routers(fleet) == len(fleet.routers) - len(cut_off)
-        cut_off.clear()
-        await asyncio.sleep(4.0)
-        assert refusing_routers(fleet) == len(fleet.routers)
-
-
-async def test_routers_that_were_cut_off_send_the_content_that_was_served():
-    """They would have refused it until its reports expired."""
-    store = make_store([])
-    async with running_gossip_fleet(store, 6, decode_empty_routing) as fleet:
-        await asyncio.sleep(5.0)
-        report_ends(fleet.routers[0])
-        await asyncio.sleep(2.0)
-        cut_off = {"r004"}
-        fleet.cut = lambda sender, receiver: bool(cut_off & {sender, receiver})
-        now = asyncio.get_running_loop().time()
-        fleet.routers[1].quarantine.merge([EndReport(FATAL, SERVED, now)])
-        await asyncio.sleep(3.0)
-        assert refusing_routers(fleet) == len(cut_off)
-        cut_off.clear()
-        await asyncio.sleep(8.0)
-        assert refusing_routers(fleet) == 0
-
-
-async def test_routers_that_start_together_learn_the_reports_of_one():
-    """They may ask one another first, which know nothing yet."""
-    store = make_store([])
-    async with running_gossip_fleet(store, 12, decode_empty_routing) as fleet:
-        await asyncio.sleep(5.0)
-        report_ends(fleet.routers[0])
-        await asyncio.sleep(2.0)
-        for router in list(fleet.routers[1:]):
-            router.kill()
-        for router in list(fleet.routers[1:]):
-            zone = router.members.own.zone
-            fleet.start(router.vm, zone, decode_empty_routing, ["r000:1", "r001:1"])
-        for router in fleet.routers[1:]:
-            assert await router.gossip.fetch_snapshot("r007:1")
-        await asyncio.sleep(1.0)
-        assert refusing_routers(fleet) == len(fleet.routers)
-
-
-async def test_reports_that_do_not_fit_a_snapshot_cost_few_snapshots():
-    """Routers that can't become equal would have fetched one each second."""
-    store = make_store([])
-    async with running_gossip_fleet(store, 2, decode_empty_routing) as fleet:
-        knowing, lacking = fleet.routers
-        now = asyncio.get_running_loop().time()
-        knowing.quarantine.restore(
-            EndReport(content, 1, now) for content in range(MAX_SNAPSHOT_REPORTS + 100)
-        )
-        snapshot, fetches = knowing.gossip.snapshot, []
-        knowing.gossip.snapshot = lambda: fetches.append(True) or snapshot()
-        await asyncio.sleep(120.0)
-        assert lacking.quarantine.records.summary.count == MAX_SNAPSHOT_REPORTS
-        assert 3 <= len(fetches) <= 8
-
-
-async def sent_counts(reports: int) -> tuple[Counter[int], list[bool]]:
-    """Return how often each report is sent, and when more heartbeats were asked for."""
-    quarantine = Quarantine(SlowProbe())
-    spreading, now = EndSpreading(quarantine), asyncio.get_running_loop().time()
-    quarantine.merge(EndReport(content, 1, now) for content in range(reports))
-    counts, asked = Counter[int](), []
-    while (packed := spreading.next_reports()) is not None:
-        rows = unpack_end_reports(packed, now)
-        assert len(rows) <= MAX_REPORTS_PER_HEARTBEAT
-        counts.update(row.content for row in rows)
-        asked.append(spreading.has_more)
-    return counts, asked
-
-
-async def test_each_report_is_sent_some_times():
-    """Lost datagrams must not hide an end, nor a large crash delay the heartbeats."""
-    counts, asked = await sent_counts(40)
-    assert counts == dict.fromkeys(range(40), SEND_COUNT)
-    assert asked == [True, True] + [False] * 6
-    counts, _ = await sent_counts(400)
-    assert set(counts) == set(range(400))
-    assert counts.total() <= 400 + SEND_COUNT * MAX_PENDING_REPORTS
-
-
-async def test_the_second_end_reaches_the_others_before_the_next_heartbeat():
-    store = make_store([])
-    async with running_gossip_fleet(store, 6, decode_empty_routing) as fleet:
-        await asyncio.sleep(5.0)
-        reporting, content = fleet.routers[0], content_hash(make_context(b"fatal"))
-        await cut_off(reporting.quarantine, make_context(b"fatal"), 1)
-        await asyncio.sleep(2.0)
-        # other news was sent a moment ago, so that the next heartbeat has to wait
-        reporting.quarantine.merge([EndReport(OTHER, 1, 0.0)])
-        await asyncio.sleep(0.001)
-        await cut_off(reporting.quarantine, make_context(b"fatal"), 2)
-        await asyncio.sleep(fleet.delay + 0.005)
-        known = [r.quarantine.records.ended_count(content) for r in fleet.routers]
-    assert known == [2] * len(fleet.routers)
