Keep a content whose old reports have expired when it is reported again

What callers saw: none yet; found on reading the diff. A content is tried again more than ten minutes after its last end, while reports of another one still count: the report raises KeyError. The router that saw the end does not count it, and every other router drops the rest of the heartbeat that carries it, so that the content could end an endpoint at each try.

Cause: the table made room after it had looked the content up, and dropped that very content, as none of its reports counts any more.

Change: room is made only for a content that is not known, and before it is added. test_a_content_whose_reports_expired_counts_again failed with KeyError before.

--- a/packages/fleet/src/teaselledge_fleet/quarantine/records.py
+++ b/packages/fleet/src/teaselledge_fleet/quarantine/records.py
@@ -137,8 +137,9 @@
     def _add(self, report: EndReport) -> bool:
         if report.at < self._oldest:
             return False
+        if report.content not in self._contents:
+            self._evict()
         known = self._contents.setdefault(report.content, _Content())
-        self._evict()
         if report.endpoint == SERVED:
             return self._add_served(known, report.at)
         if report.endpoint in known.ended_at or report.at <= known.served_at:
@@ -201,13 +202,13 @@
         return EndSummary(len(reports), digest & MAX_INT32)
 
     def _evict(self) -> None:
-        """Drop the contents that expired, and one more if there are too many."""
-        while len(self._contents) > 1:
+        """Make room for a content: drop those that expired, or one that counts."""
+        while self._contents:
             content = next(iter(self._contents))
             if self._rows(content):
                 break
             del self._contents[content]
-        if len(self._contents) <= MAX_CONTENTS:
+        if len(self._contents) < MAX_CONTENTS:
             return
         suspects = (each for each in self._contents if not self.is_quarantined(each))
         del self._contents[next(suspects, next(iter(self._contents)))]
--- a/packages/fleet/tests/test_end_records.py
+++ b/packages/fleet/tests/test_end_records.py
@@ -93,6 +93,16 @@
     assert not clock.records.merge(ends(FATAL, 1, 2, 3))
 
 
+def test_a_content_whose_reports_expired_counts_again(clock):
+    """It was dropped for its old report while the new one was added to it."""
+    for content, at in ((FATAL, 0.0), (OTHER, 300.0), (FATAL, RETENTION_SECONDS + 1)):
+        clock.now = at
+        assert clock.records.add(EndReport(content, 1 + int(at), at))
+    assert clock.records.ended_count(FATAL) == 1
+    assert clock.records.add(EndReport(FATAL, SERVED, clock.now))
+    assert clock.records.ended_count(FATAL) == 0
+
+
 def test_records_are_bounded_and_keep_what_is_refused(clock):
     clock.records.merge(ends(FATAL, 1, 2, 3))
     for content in range(100, 100 + 2 * MAX_CONTENTS):
