--- a/packages/fleet/tests/test_versions.py
+++ b/packages/fleet/tests/test_versions.py
@@ -137,6 +137,7 @@
     for engine in versioned_fleet.engines:
         engine.break_after = RESUMED_EVENT
     router = versioned_fleet.routers[0]
+    router.simulate_uptime()
     streams = []
     for number in range(STREAMS):
         headers = {"X-Request-Id": f"q{number}"}
--- a/packages/standins/src/teaselledge_standins/fleetrouters.py
+++ b/packages/standins/src/teaselledge_standins/fleetrouters.py
@@ -1,5 +1,6 @@
 """Complete routers in one process, on loopback, with an in-memory store."""
 
+import math
 from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -69,6 +70,10 @@
         self.router = self.make_router()
         await self.router.start()
 
+    def simulate_uptime(self) -> None:
+        """Make the router use its whole part of the retries, as after some time."""
+        self.router._budget._started = -math.inf
+
     def simulate_saturation(self) -> None:
         """Make the router consider its CPU saturated."""
         self.router._event_loop = SaturatedLoopMonitor()  # type: ignore[assignment]
