Log prompt segments and progress of requests whose engine ended

Lines `attempt lost` and `response incomplete` now carry the hashes of the prompt's shared segments and the time since the request was sent, `request ended` whether only the close of the connection showed the end. No decision changes.

--- a/packages/fleet/src/teaselledge_fleet/connection/endpoint.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/endpoint.py
@@ -150,6 +150,11 @@
         self._cancelled = False
         self._head_received = False
 
+    @property
+    def ended_by_close(self) -> bool:
+        """Whether only the close of the connection shows that the response ended."""
+        return self._parser.ended_by_close
+
     async def head(self) -> Result[ResponseHead, SendFailure]:
         """Wait for the head of the response."""
         part = await self._queue.get()
--- a/packages/fleet/src/teaselledge_fleet/connection/responseparser.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/responseparser.py
@@ -151,6 +151,11 @@
         """Whether a part of a head, a chunk line or trailers waits for the rest."""
         return not self._complete and self._start < len(self._data)
 
+    @property
+    def ended_by_close(self) -> bool:
+        """Whether only the close of the connection shows that the response ended."""
+        return self._complete and isinstance(self._body, _UnlimitedBody)
+
     @property
     def reusable(self) -> bool:
         """Whether the connection may be used again.
--- a/packages/fleet/src/teaselledge_fleet/quarantine/content.py
+++ b/packages/fleet/src/teaselledge_fleet/quarantine/content.py
@@ -1,10 +1,10 @@
-"""Identify a request by its content, over all attempts of its caller."""
+"""Identify a request by its content and the segments of its prompt."""
 
 import xxhash
 
 from teaselledge_fleet.request.context import RequestContext
 
-__all__ = ["content_hash"]
+__all__ = ["content_hash", "segment_hashes"]
 
 SIGN_BITS = 1
 """Bits by which a hash is shortened, as messages carry signed numbers."""
@@ -31,3 +31,18 @@
         hasher.update(context.body)
         context.content = hasher.intdigest() >> SIGN_BITS
     return context.content
+
+
+def segment_hashes(context: RequestContext) -> tuple[int, ...]:
+    """Return the hashes of the prompt's shared segments, by service.
+
+    The last segment belongs to the request itself.
+    """
+    prompt = context.request.prompt
+    if prompt is None:
+        return ()
+    return tuple(
+        xxhash.xxh3_64_intdigest(f"{context.service}\0{segment.id}".encode())
+        >> SIGN_BITS
+        for segment in prompt.segments[:-1]
+    )
--- a/packages/fleet/src/teaselledge_fleet/request/attempt.py
+++ b/packages/fleet/src/teaselledge_fleet/request/attempt.py
@@ -18,7 +18,7 @@
 from teaselledge_fleet.log import get_log
 from teaselledge_fleet.process.endpoints import Endpoint
 from teaselledge_fleet.process.metrics import FleetMetrics
-from teaselledge_fleet.quarantine.content import content_hash
+from teaselledge_fleet.quarantine.content import content_hash, segment_hashes
 from teaselledge_fleet.quarantine.quarantine import Quarantine
 from teaselledge_fleet.request.call import ForwardingInfo, HeaderCodec, ResponseHead
 from teaselledge_fleet.request.context import Outcome, Placement, Placer, RequestContext
@@ -178,6 +178,11 @@
         """Splits the response, if it is an event stream."""
         return self._splitter
 
+    @property
+    def ended_by_close(self) -> bool:
+        """Whether only the close of its connection shows that the response ended."""
+        return self._exchange is not None and self._exchange.ended_by_close
+
     async def open(self) -> ReadyResponse | Outcome:
         """Send the request, and read its response until it can be forwarded.
 
@@ -315,11 +320,19 @@
             id=self.context.request.id,
             endpoint=self.endpoint.id,
             content=content_hash(self.context),
+            segments=segment_hashes(self.context),
+            sent_ms=self._milliseconds_since_sent,
             fault=failure.fault.value,
             reused=failure.reused,
         )
         return self._lost_outcome
 
+    @property
+    def _milliseconds_since_sent(self) -> int:
+        if self.sent_at is None:
+            return 0
+        return round((asyncio.get_running_loop().time() - self.sent_at) * 1000)
+
     @property
     def _lost_outcome(self) -> Outcome:
         return Outcome.BROKEN if self._owner.writer.started else Outcome.LOST
@@ -372,5 +385,8 @@
             id=self.context.request.id,
             endpoint=self.endpoint.id,
             content=content_hash(self.context),
+            segments=segment_hashes(self.context),
+            sent_ms=self._milliseconds_since_sent,
+            started=self.response_started,
             detail=str(error),
         )
--- a/packages/fleet/src/teaselledge_fleet/request/serving.py
+++ b/packages/fleet/src/teaselledge_fleet/request/serving.py
@@ -269,6 +269,7 @@
         self._splitter = EventSplitter() if context.route.stream else None
         self._fault: Fault | None = None
         self._last_event_at: float | None = None
+        self._ended_by_close = False
         self._resources = AttemptResources(
             proxy._codec,
             proxy._pool,
@@ -305,6 +306,7 @@
                 self._splitter = attempt.splitter
                 outcome = await self._finish_attempt(attempt, opened)
             finally:
+                self._ended_by_close = attempt.ended_by_close
                 attempt.end(outcome)
             if outcome in (Outcome.WHOLE, Outcome.ABANDONED):
                 return outcome, attempt.endpoint
@@ -555,6 +557,7 @@
             sends=context.send_count,
             first_ms=first_event_ms,
             pause_ms=round(context.longest_event_gap * 1000),
+            ended_by_close=self._ended_by_close,
             ms=round((now - context.arrived_at) * 1000),
             left_ms=round((context.deadline - now) * 1000),
         )
--- a/packages/fleet/tests/test_hedged_serving.py
+++ b/packages/fleet/tests/test_hedged_serving.py
@@ -52,6 +52,7 @@
     cancelled_at: float | None = None
     ended: bool = False
     resume_after: str | None = None
+    ended_by_close: bool = False
 
     def send_request(self, request, codec, headers, body) -> "ScriptedExchange":
         """Begin the exchange."""
