--- a/packages/standins/src/teaselledge_standins/fleetrouters.py
+++ b/packages/standins/src/teaselledge_standins/fleetrouters.py
@@ -10,6 +10,7 @@
 from teaselledge_fleet.process.endpoints import Endpoint
 from teaselledge_fleet.process.router import FleetRouter
 from teaselledge_fleet.process.settings import FleetSettings, Listeners, Place
+from teaselledge_fleet.request.call import HeaderCodec
 from teaselledge_fleet.request.defaultcodec import DefaultHeaderCodec
 from teaselledge_fleet.version.routes import RoutingConfiguration
 
@@ -97,7 +98,10 @@
 
 @asynccontextmanager
 async def running_routers(
-    count: int, routing: RoutingConfiguration, endpoints: Iterable[Endpoint]
+    count: int,
+    routing: RoutingConfiguration,
+    endpoints: Iterable[Endpoint],
+    codec: HeaderCodec | None = None,
 ) -> AsyncIterator[list[RunningRouter]]:
     """Run ``count`` routers in one zone as a context manager."""
     store = make_store(endpoints)
@@ -109,7 +113,7 @@
             FleetRouter,
             settings,
             StoreClient(store, settings.place.vm),
-            DefaultHeaderCodec(),
+            codec or DefaultHeaderCodec(),
             LocalPages(),
             lambda data: routing,
         )
