Refuse prompts by the segment under which engines ended

Cause: a request was identified by all of its content. What ends the engine is a segment that they share.

Change: routers report what was in flight at an ended engine with the segments of its prompt. A trait, which is a segment or the whole content, is refused if it was in flight in three events since it was last served; an identical request is the case in which all traits are alike, so there is still one way. - The trait with most unexplained events is taken first, and what it explains is no evidence for others, so that what runs beside fatal requests is not refused for them. - Traits that always occurred together are refused only together, and a narrower verdict goes before a wider one unless that explains three more. - Routers that served a trait often say so before it is refused: in an outage of a whole service nothing could acquit the segments that all prompts share. - Engines that end within 20 ms are one event. - A verdict on segments is tried again with a quarter of such requests, after 6 s on up to four ends, after 60 s and more on more of them. Reports are 18 bytes and 8 a segment, 16 before, in the same messages.

--- a/packages/fleet/src/teaselledge_fleet/connection/figures.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/figures.py
@@ -44,8 +44,12 @@
 STATUS_FORMAT = struct.Struct("!IBB")
 """Hash of a router's name, its state, and its CPU utilisation in percent."""
 
-END_REPORT_FORMAT = struct.Struct("!QII")
-"""Hash of a content, hash of an endpoint, and age of the report in milliseconds."""
+END_REPORT_FORMAT = struct.Struct("!QIIBB")
+"""Hash of a content, hash of an endpoint, age of the report in milliseconds, number of
+requests served, and number of segments."""
+
+SEGMENT_FORMAT = struct.Struct("!Q")
+"""Hash of a segment of the prompt."""
 
 AGE_UNIT_SECONDS = 0.01
 MAX_AGE = 255
@@ -56,6 +60,7 @@
 SLOWDOWN_LOG_UNIT = 0.001
 PERCENT = 100
 MAX_INT16 = 0x7FFF
+MAX_UINT8 = 0xFF
 MAX_UINT16 = 0xFFFF
 MAX_UINT32 = 0xFFFFFFFF
 MAX_ENGINE_SLOWDOWN_BYTES = 128
@@ -65,23 +70,37 @@
 
 def pack_end_reports(reports: Iterable[EndReport], now: float) -> bytes:
     """Return reports of endpoints that ended as bytes."""
-    return b"".join(
-        END_REPORT_FORMAT.pack(
-            report.content,
-            report.endpoint,
-            _clamp((now - report.at) * MS_PER_SECOND, MAX_UINT32),
-        )
-        for report in reports
-    )
+    return b"".join(_pack_end_report(report, now) for report in reports)
 
 
 def unpack_end_reports(data: bytes, now: float) -> list[EndReport]:
     """Return reports of endpoints that ended; an incomplete one is ignored."""
-    complete_rows = data[: len(data) - len(data) % END_REPORT_FORMAT.size]
-    return [
-        EndReport(content, endpoint, now - age_ms / MS_PER_SECOND)
-        for content, endpoint, age_ms in END_REPORT_FORMAT.iter_unpack(complete_rows)
-    ]
+    reports, position = [], 0
+    while position + END_REPORT_FORMAT.size <= len(data):
+        content, endpoint, age_ms, served, count = END_REPORT_FORMAT.unpack_from(
+            data, position
+        )
+        position += END_REPORT_FORMAT.size
+        end = position + count * SEGMENT_FORMAT.size
+        if end > len(data):
+            break
+        rows = SEGMENT_FORMAT.iter_unpack(data[position:end])
+        segments = tuple(segment for (segment,) in rows)
+        at = now - age_ms / MS_PER_SECOND
+        reports.append(EndReport(content, endpoint, at, segments, served))
+        position = end
+    return reports
+
+
+def _pack_end_report(report: EndReport, now: float) -> bytes:
+    fields = END_REPORT_FORMAT.pack(
+        report.content,
+        report.endpoint,
+        _clamp((now - report.at) * MS_PER_SECOND, MAX_UINT32),
+        _clamp(report.served_count, MAX_UINT8),
+        len(report.segments),
+    )
+    return fields + b"".join(map(SEGMENT_FORMAT.pack, report.segments))
 
 
 def pack_loads(loads: dict[int, EndpointLoad]) -> bytes:
--- a/packages/fleet/src/teaselledge_fleet/quarantine/quarantine.py
+++ b/packages/fleet/src/teaselledge_fleet/quarantine/quarantine.py
@@ -1,6 +1,8 @@
 """Decide whether a request may be sent, by the endpoints that ended under it."""
 
 import asyncio
+import math
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -9,14 +11,21 @@
 from teaselledge_fleet.process.endpoints import Endpoint
 from teaselledge_fleet.process.metrics import FleetMetrics
 from teaselledge_fleet.process.work import name_hash
-from teaselledge_fleet.quarantine.content import content_hash
+from teaselledge_fleet.quarantine.content import (
+    content_hash,
+    request_traits,
+    segment_hashes,
+    shared_segments,
+)
+from teaselledge_fleet.quarantine.history import ServedHistory
 from teaselledge_fleet.quarantine.probing import EndpointProbe
 from teaselledge_fleet.quarantine.records import (
-    MAX_ENDED_ENDPOINTS,
+    MAX_SERVED_COUNT,
     SERVED,
     EndRecords,
     EndReport,
 )
+from teaselledge_fleet.quarantine.verdicts import MIN_EVENTS, Verdict
 from teaselledge_fleet.request.context import RequestContext
 
 __all__ = ["Quarantine"]
@@ -27,20 +36,24 @@
 """Time for which the response to a suspected request is held until it is known whether
 its endpoint has ended. A refusal from another region takes 46 ms."""
 
-SUSPECT_ENDS = MAX_ENDED_ENDPOINTS - 1
+SUSPECT_ENDS = MIN_EVENTS - 1
 """Ends from which other routers must know of each one before the caller is answered,
 as its next attempt may meet any of them."""
 
+MAX_LOGGED_VERDICTS = 64
+"""Maximum number of verdicts of which it is known that a request was logged."""
+
 MAX_UNSENT_REPORTS = 512
 """Maximum number of reports that wait to be sent to other routers."""
 
 
 @dataclass
 class _Probe:
-    """A running probe of an endpoint, and the contents that were in flight there."""
+    """A running probe of an endpoint, and the requests that were in flight there."""
 
     task: "asyncio.Task[None]"
-    contents: set[int] = field(default_factory=set)
+    requests: dict[int, RequestContext] = field(default_factory=dict)
+    """The requests by the hashes of their contents."""
 
 
 class Quarantine:
@@ -53,7 +66,7 @@
     metrics : FleetMetrics, optional
         Counts endpoints that ended.
     records : EndRecords, optional
-        What is known of contents.
+        What is known of requests that were in flight at endpoints that ended.
 
     Attributes
     ----------
@@ -73,20 +86,28 @@
         self._probe = probe
         self._metrics = metrics or FleetMetrics()
         self._records = records if records is not None else EndRecords()
+        self._history = ServedHistory(self._now)
         self._probes: dict[str, _Probe] = {}
         self._unsent: list[EndReport] = []
+        self._logged: deque[Verdict] = deque(maxlen=MAX_LOGGED_VERDICTS)
         self.on_report: Callable[[], None] = lambda: None
         self.on_suspicion: Callable[[], None] = lambda: None
 
     @property
     def records(self) -> EndRecords:
-        """What is known of contents."""
+        """What is known of requests that were in flight at endpoints that ended."""
         return self._records
 
     def fault(self, context: RequestContext) -> Fault | None:
         """Return why a request must not be sent, None if it may be."""
-        if not self._records or not self._records.is_quarantined(content_hash(context)):
+        if not self._records.verdicts:
             return None
+        verdict = self._records.find_verdict(
+            request_traits(context), content_hash(context)
+        )
+        if verdict is None:
+            return None
+        self._log_refused(context, verdict)
         return Fault(FaultKind.QUARANTINED)
 
     def on_cut_off(self, context: RequestContext, endpoint: Endpoint) -> None:
@@ -95,25 +116,33 @@
         if probe is None:
             task = asyncio.create_task(self._run_probe(endpoint))
             probe = self._probes[endpoint.id] = _Probe(task)
-        probe.contents.add(content_hash(context))
+        probe.requests[content_hash(context)] = context
 
     async def settle(self, context: RequestContext) -> None:
         """Wait for running probes, if they may make a request a suspected one."""
         if not self._probes:
             return
         content = content_hash(context)
-        running = [p.task for p in self._probes.values() if content in p.contents]
-        count = self._records.ended_count(content)
-        if running and count + len(running) >= SUSPECT_ENDS:
+        running = [p.task for p in self._probes.values() if content in p.requests]
+        if not running:
+            return
+        count = max(map(self._records.ended_count, request_traits(context)))
+        if count + len(running) >= SUSPECT_ENDS:
             await asyncio.wait(running, timeout=MAX_PROBE_SECONDS)
 
     def on_served(self, context: RequestContext) -> None:
         """Record that a request was served in full."""
+        # the content of a prompt is its caller's own
+        lasting = segment_hashes(context) or (content_hash(context),)
+        self._history.record(lasting)
         if not self._records:
             return
-        content = content_hash(context)
-        if self._records.ended_count(content):
-            self._report([EndReport(content, SERVED, self._now())])
+        now = self._now()
+        self._report(
+            EndReport(trait, SERVED, now, served_count=self._served_count(trait))
+            for trait in request_traits(context)
+            if self._records.ended_count(trait)
+        )
 
     def merge(self, reports: Iterable[EndReport]) -> None:
         """Add the reports of another router, and pass on those that are new."""
@@ -126,8 +155,14 @@
         """
         reports = list(reports)
         new = self._add(reports)
-        ends = [report for report in reports if report.endpoint != SERVED]
-        served = {each for each in map(self._records.served_since, ends) if each}
+        known = {each.content: each.at for each in reports if each.endpoint == SERVED}
+        served = {
+            later
+            for report in reports
+            if report.endpoint != SERVED
+            for later in self._records.served_since(report)
+            if known.get(later.content, -math.inf) < report.at
+        }
         if served:
             self._pass_on(served)
         return len(new)
@@ -149,15 +184,29 @@
             "endpoint ended",
             endpoint=endpoint.id,
             service=endpoint.service,
-            contents=sorted(probe.contents),
+            contents=sorted(probe.requests),
+            segments=_segment_ids(probe.requests.values()),
         )
         ended_hash = name_hash(f"{endpoint.id}:{endpoint.started_ms}") or 1
         now = self._now()
-        self._report(EndReport(each, ended_hash, now) for each in probe.contents)
-        counts = [self._records.ended_count(each) for each in probe.contents]
-        if max(counts) >= SUSPECT_ENDS:
+        reports = [
+            EndReport(content, ended_hash, now, segment_hashes(context))
+            for content, context in probe.requests.items()
+        ]
+        # one datagram may not carry all of them
+        reports.sort(key=self._suspicion, reverse=True)
+        self._report(reports)
+        if max(map(self._suspicion, reports)) >= SUSPECT_ENDS:
             self.on_suspicion()
 
+    def _suspicion(self, report: EndReport) -> int:
+        """Return the number of endpoints that ended under a trait of a request."""
+        return max(map(self._records.ended_count, report.traits))
+
+    def _served_count(self, trait: int) -> int:
+        served = self._history.find(trait)
+        return min(MAX_SERVED_COUNT, int(served.count)) if served is not None else 0
+
     def _report(self, reports: Iterable[EndReport]) -> None:
         """Add reports; those that are new go to the other routers."""
         new = self._add(reports)
@@ -171,20 +220,60 @@
 
     def _add(self, reports: Iterable[EndReport]) -> list[EndReport]:
         """Add reports and return the new ones."""
-        reports = list(reports)
-        refused_before = self._refused(reports)
+        refused_before = {verdict.traits for verdict in self._records.verdicts}
         new = self._records.merge(reports)
-        refused = self._refused(new) - refused_before
-        for _ in refused:
-            self._metrics.increment("contents_quarantined")
-        if refused:
-            _log.warning("content quarantined", contents=sorted(refused))
+        new += self._records.merge(self._objections(new))
+        for verdict in self._records.verdicts:
+            if verdict.traits not in refused_before:
+                self._metrics.increment("contents_quarantined")
+                _log.warning(
+                    "content quarantined",
+                    contents=sorted(verdict.traits),
+                    events=verdict.events,
+                )
         return new
 
-    def _refused(self, reports: Iterable[EndReport]) -> set[int]:
-        """Return which of the contents in some reports are refused."""
-        contents = {report.content for report in reports}
-        return {each for each in contents if self._records.is_quarantined(each)}
+    def _objections(self, reports: Iterable[EndReport]) -> list[EndReport]:
+        """Return what this router served of the traits that may be refused next."""
+        found = []
+        for trait in set().union(*(report.traits for report in reports)):
+            if self._records.ended_count(trait) < SUSPECT_ENDS:
+                continue
+            served, count = self._history.find(trait), self._served_count(trait)
+            if served is not None and count > self._records.served_count(trait):
+                found.append(EndReport(trait, SERVED, served.at, served_count=count))
+        return found
+
+    def _log_refused(self, context: RequestContext, verdict: Verdict) -> None:
+        """Log what the first request had that a verdict refuses."""
+        if verdict in self._logged:
+            return
+        self._logged.append(verdict)
+        _log.warning(
+            "requests refused",
+            id=context.request.id,
+            contents=sorted(verdict.traits),
+            segments=_segment_ids([context], verdict.traits),
+        )
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
+
+
+def _segment_ids(
+    contexts: Iterable[RequestContext], hashes: frozenset[int] | None = None
+) -> list[str]:
+    """Return the ids of the shared segments of prompts, all or those with a hash."""
+    return sorted(
+        {
+            segment.id
+            for context in contexts
+            if context.request.prompt is not None
+            for segment, hashed in zip(
+                shared_segments(context.request.prompt),
+                segment_hashes(context),
+                strict=True,
+            )
+            if hashes is None or hashed in hashes
+        }
+    )
--- a/packages/fleet/src/teaselledge_fleet/quarantine/records.py
+++ b/packages/fleet/src/teaselledge_fleet/quarantine/records.py
@@ -1,33 +1,45 @@
-"""Contents under which endpoints ended, as reported by all routers."""
+"""Requests in flight at endpoints that ended, as reported by all routers."""
 
 import asyncio
 import math
 import struct
 import zlib
-from collections import OrderedDict
+from collections import OrderedDict, defaultdict
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+
+from teaselledge_fleet.quarantine.verdicts import (
+    MIN_EVENTS,
+    Suspect,
+    Verdict,
+    count_events,
+    find_verdicts,
+)
+
+_ReportKey = tuple[int, int]
+"""Hashes of the content and of the endpoint."""
 
 __all__ = [
-    "MAX_ENDED_ENDPOINTS",
+    "MAX_SERVED_COUNT",
     "SERVED",
     "EndRecords",
     "EndReport",
     "EndSummary",
 ]
 
-MAX_ENDED_ENDPOINTS = 3
-"""Endpoints that may end one after another under a content before it is refused.
-
-Whatever else runs at an endpoint is in flight when it ends as well. A request that did
-not end it may be next to the one that did a second time, but hardly a third time."""
-
 RETENTION_SECONDS = 600.0
-"""Time for which a report counts. A caller that never stops trying ends three endpoints
+"""Time for which a report counts. A caller that never stops trying ends some endpoints
 each time."""
 
-MAX_CONTENTS = 4096
-"""Maximum number of contents, those in flight at some 80 endpoints that ended."""
+MAX_REPORTS = 4096
+"""Maximum number of reports of ends, those in flight at some 80 endpoints."""
+
+MAX_SERVED_TRAITS = 4096
+"""Maximum number of traits that are known to have been served."""
+
+MAX_SERVED_COUNT = 8
+"""Served requests that weigh against events. A trait that many requests have may become
+fatal by a change of the endpoints' software."""
 
 MIN_SERVED_GAP_SECONDS = 1.0
 """Time by which a report of the same service must be later to be passed on. Times of
@@ -40,7 +52,7 @@
 MAX_INT32 = 0x7FFFFFFF
 
 SERVED = 0
-"""Takes the place of the endpoint in the report of a content that was served."""
+"""Takes the place of the endpoint in the report of a trait that was served."""
 
 
 @dataclass(frozen=True)
@@ -50,16 +62,27 @@
     Attributes
     ----------
     content : int
-        Hash of the request's content.
+        Hash of the request's content; of the trait if it was served.
     endpoint : int
         Hash of the endpoint that ended, or `SERVED`.
     at : float
         Loop time.
+    segments : tuple of int
+        Hashes of the shared segments of the request's prompt.
+    served_count : int
+        Number of requests with the trait that were served shortly before.
     """
 
     content: int
     endpoint: int
     at: float
+    segments: tuple[int, ...] = ()
+    served_count: int = 0
+
+    @property
+    def traits(self) -> frozenset[int]:
+        """The content and the segments."""
+        return frozenset((self.content, *self.segments))
 
 
 @dataclass(frozen=True)
@@ -78,20 +101,11 @@
     digest: int = 0
 
 
-@dataclass
-class _Content:
-    ended_at: dict[int, float] = field(default_factory=dict)
-    """Time at which each endpoint ended, by its hash."""
-
-    served_at: float = -math.inf
-
-
 class EndRecords:
     """Reports of all routers, merged; their order makes no difference.
 
-    A content that was served in full does not end endpoints, so what was reported of it
-    before no longer counts: contents that many callers send are in flight whenever an
-    endpoint ends.
+    A trait that was served in full does not end endpoints, so that ends before count no
+    longer: traits that many requests have are in flight whenever an endpoint ends.
 
     Parameters
     ----------
@@ -101,114 +115,229 @@
 
     def __init__(self, clock: Callable[[], float] | None = None) -> None:
         self._clock = clock or (lambda: asyncio.get_running_loop().time())
-        self._contents: OrderedDict[int, _Content] = OrderedDict()
+        self._ends: OrderedDict[_ReportKey, EndReport] = OrderedDict()
+        """Reports of ends by content and endpoint."""
+        self._served: OrderedDict[int, EndReport] = OrderedDict()
+        """Reports of traits that were served, by trait."""
+        self._by_trait: defaultdict[int, dict[_ReportKey, EndReport]] = defaultdict(
+            dict
+        )
+        """Reports of ends since a trait was served, by the trait."""
+        self._frequent: set[int] = set()
+        """Traits with so many of them that they may be refused."""
+        self._verdicts: list[Verdict] | None = []
+        """None if they have to be found again."""
         self._summary = EndSummary()
         self._summarised_at = -math.inf
 
     def __len__(self) -> int:
-        return len(self._contents)
+        return len(self._ends)
+
+    @property
+    def verdicts(self) -> list[Verdict]:
+        """What is refused, or was until some time ago."""
+        if self._verdicts is None:
+            self._verdicts = find_verdicts(self._suspects())
+        return self._verdicts
 
     @property
     def quarantined_count(self) -> int:
-        """Number of contents that are refused."""
-        return sum(self.is_quarantined(content) for content in self._contents)
+        """Number of combinations of traits that are refused."""
+        self._expire()
+        now = self._clock()
+        return sum(now < verdict.until for verdict in self.verdicts)
 
     @property
     def reports(self) -> list[EndReport]:
-        """The reports that count, those of refused contents first."""
-        ordered = sorted(self._contents, key=self.is_quarantined, reverse=True)
-        return [report for content in ordered for report in self._rows(content)]
+        """The reports that count, those of refused requests and the last ones first."""
+        self._expire()
+        refused: list[EndReport] = []
+        others: list[EndReport] = []
+        for report in reversed(self._ends.values()):
+            applies = self.find_verdict(report.traits, report.content) is not None
+            (refused if applies else others).append(report)
+        return [*refused, *others, *reversed(self._served.values())]
 
     @property
     def summary(self) -> EndSummary:
         """Summary of the reports that count."""
         now = self._clock()
-        if self._contents and now >= self._summarised_at + SUMMARY_SECONDS:
+        known = self._ends or self._served
+        if known and now >= self._summarised_at + SUMMARY_SECONDS:
+            self._expire()
             self._summary, self._summarised_at = self._summarise(), now
         return self._summary
 
     def add(self, report: EndReport) -> bool:
         """Add a report; return whether it was new."""
-        is_new = self._add(report)
-        if is_new:
-            self._summarised_at = -math.inf
-        return is_new
-
-    def _add(self, report: EndReport) -> bool:
         if report.at < self._oldest:
             return False
-        if report.content not in self._contents:
-            self._evict()
-        known = self._contents.setdefault(report.content, _Content())
+        self._expire()
         if report.endpoint == SERVED:
-            return self._add_served(known, report.at)
-        if report.endpoint in known.ended_at or report.at <= known.served_at:
-            return False
-        known.ended_at[report.endpoint] = report.at
-        self._contents.move_to_end(report.content)
-        return True
+            is_new = self._add_served(report)
+        else:
+            is_new = self._add_end(report)
+        if is_new:
+            self._summarised_at = -math.inf
+        return is_new
 
     def merge(self, reports: Iterable[EndReport]) -> list[EndReport]:
         """Add reports and return the new ones."""
         return [report for report in reports if self.add(report)]
 
-    def served_since(self, report: EndReport) -> EndReport | None:
-        """Return the report of a content that was served after another report."""
-        known = self._contents.get(report.content)
-        if known is None or known.served_at < max(report.at, self._oldest):
-            return None
-        return EndReport(report.content, SERVED, known.served_at)
+    def served_since(self, report: EndReport) -> list[EndReport]:
+        """Return the reports of traits of an end that were served after it."""
+        served = (self._served.get(trait) for trait in report.traits)
+        return [each for each in served if each is not None and each.at >= report.at]
+
+    def ended_count(self, trait: int) -> int:
+        """Return how many endpoints ended under a trait since it was served."""
+        return len(self._ended_at(trait))
 
-    def ended_count(self, content: int) -> int:
-        """Return the number of endpoints that ended under a content."""
-        return sum(each.endpoint != SERVED for each in self._rows(content))
+    def event_count(self, trait: int) -> int:
+        """Return the number of events in which they ended."""
+        return count_events(self._ended_at(trait).values())
+
+    def served_count(self, trait: int) -> int:
+        """Return how many requests with a trait were served before its last ends."""
+        served = self._served.get(trait)
+        return served.served_count if served is not None else 0
+
+    def find_verdict(self, traits: frozenset[int], content: int) -> Verdict | None:
+        """Return why a request with these traits is refused, None if it is not."""
+        now = self._clock()
+        applying = (v for v in self.verdicts if v.applies(traits, content, now))
+        return next(applying, None)
 
     def is_quarantined(self, content: int) -> bool:
-        """Whether requests with a content must no longer be sent."""
-        return self.ended_count(content) >= MAX_ENDED_ENDPOINTS
+        """Whether requests with a content and no prompt must no longer be sent."""
+        self._expire()
+        return self.find_verdict(frozenset((content,)), content) is not None
 
     @property
     def _oldest(self) -> float:
         """Loop time before which reports no longer count."""
         return self._clock() - RETENTION_SECONDS
 
-    def _rows(self, content: int) -> list[EndReport]:
-        """Return the reports of a content that count."""
-        known, oldest = self._contents.get(content), self._oldest
-        if known is None:
-            return []
-        rows = [*known.ended_at.items(), (SERVED, known.served_at)]
-        return [EndReport(content, each, at) for each, at in rows if at >= oldest]
-
-    def _add_served(self, known: _Content, at: float) -> bool:
-        """Forget the ends before a request was served; return whether it is news."""
-        remaining = {
-            endpoint: ended_at
-            for endpoint, ended_at in known.ended_at.items()
-            if ended_at > at
+    def _ended_at(self, trait: int) -> dict[int, float]:
+        """Return when endpoints ended under a trait since it was served."""
+        oldest, ended_at = self._oldest, dict[int, float]()
+        for report in self._by_trait.get(trait, {}).values():
+            if report.at >= oldest:
+                known = ended_at.get(report.endpoint, math.inf)
+                ended_at[report.endpoint] = min(known, report.at)
+        return ended_at
+
+    def _suspects(self) -> dict[int, Suspect]:
+        """Return the traits that may have ended endpoints."""
+        ended_at = {}
+        for trait in self._frequent:
+            times = self._ended_at(trait)
+            needed = max(MIN_EVENTS, self.served_count(trait) + 1)
+            if count_events(times.values()) >= needed:
+                ended_at[trait] = times
+        return {
+            trait: self._suspect(trait, times, ended_at)
+            for trait, times in ended_at.items()
         }
-        news = (
-            len(remaining) < len(known.ended_at)
-            or at > known.served_at + MIN_SERVED_GAP_SECONDS
-        )
-        known.ended_at = remaining
-        known.served_at = max(known.served_at, at)
+
+    def _suspect(
+        self, trait: int, ended_at: dict[int, float], suspects: Iterable[int]
+    ) -> Suspect:
+        reports = self._by_trait[trait].values()
+        companions = frozenset.intersection(*(report.traits for report in reports))
+        identical = len({report.content for report in reports}) == 1
+        return Suspect(ended_at, companions.intersection(suspects), identical)
+
+    def _add_end(self, report: EndReport) -> bool:
+        key = report.content, report.endpoint
+        if key in self._ends:
+            return False
+        if len(self._ends) >= MAX_REPORTS:
+            self._evict()
+        self._ends[key] = report
+        for trait in report.traits:
+            served = self._served.get(trait)
+            if served is None or served.at < report.at:
+                self._by_trait[trait][key] = report
+                self._on_trait_changed(trait)
+        return True
+
+    def _add_served(self, report: EndReport) -> bool:
+        """Record that a trait was served; return whether that is news."""
+        trait, known = report.content, self._served.get(report.content)
+        acquitted = [
+            key
+            for key, end in self._by_trait.get(trait, {}).items()
+            if end.at <= report.at
+        ]
+        if known is None:
+            self._put_served(report)
+            news = True
+        else:
+            news = (
+                bool(acquitted)
+                or report.at > known.at + MIN_SERVED_GAP_SECONDS
+                or report.served_count > known.served_count
+            )
+            at = max(report.at, known.at)
+            count = max(report.served_count, known.served_count)
+            self._put_served(EndReport(trait, SERVED, at, served_count=count))
+        for key in acquitted:
+            self._forget(trait, key)
         return news
 
+    def _put_served(self, report: EndReport) -> None:
+        self._served[report.content] = report
+        self._served.move_to_end(report.content)
+        if report.content in self._frequent:
+            self._verdicts = None
+        if len(self._served) > MAX_SERVED_TRAITS:
+            self._served.popitem(last=False)
+
+    def _on_trait_changed(self, trait: int) -> None:
+        """Note whether a trait may be refused."""
+        frequent = len(self._by_trait[trait]) >= MIN_EVENTS
+        if frequent or trait in self._frequent:
+            self._verdicts = None
+        if frequent:
+            self._frequent.add(trait)
+        else:
+            self._frequent.discard(trait)
+        if not self._by_trait[trait]:
+            del self._by_trait[trait]
+
+    def _forget(self, trait: int, key: _ReportKey) -> None:
+        """Forget a report for one of its traits."""
+        if key in self._by_trait.get(trait, {}):
+            del self._by_trait[trait][key]
+            self._on_trait_changed(trait)
+
     def _summarise(self) -> EndSummary:
-        reports, digest = self.reports, 0
+        reports = [*self._ends.values(), *self._served.values()]
+        digest = 0
         for each in reports:
             digest ^= zlib.crc32(SUMMARY_FORMAT.pack(each.content, each.endpoint))
         return EndSummary(len(reports), digest & MAX_INT32)
 
+    def _expire(self) -> None:
+        """Drop the first reports while they no longer count."""
+        oldest = self._oldest
+        while self._ends and next(iter(self._ends.values())).at < oldest:
+            self._drop(next(iter(self._ends)))
+        while self._served and next(iter(self._served.values())).at < oldest:
+            self._served.popitem(last=False)
+
     def _evict(self) -> None:
-        """Make room for a content: drop those that expired, or one that counts."""
-        while self._contents:
-            content = next(iter(self._contents))
-            if self._rows(content):
-                break
-            del self._contents[content]
-        if len(self._contents) < MAX_CONTENTS:
-            return
-        suspects = (each for each in self._contents if not self.is_quarantined(each))
-        del self._contents[next(suspects, next(iter(self._contents)))]
+        """Drop the first report that no verdict is based on, or one that is."""
+        unused = (
+            key
+            for key, report in self._ends.items()
+            if self.find_verdict(report.traits, report.content) is None
+        )
+        self._drop(next(unused, next(iter(self._ends))))
+
+    def _drop(self, key: _ReportKey) -> None:
+        report = self._ends.pop(key)
+        for trait in report.traits:
+            self._forget(trait, key)
--- a/packages/fleet/src/teaselledge_fleet/quarantine/spreading.py
+++ b/packages/fleet/src/teaselledge_fleet/quarantine/spreading.py
@@ -13,13 +13,13 @@
 __all__ = ["EndReportSource", "EndSpreading"]
 
 MAX_REPORTS_PER_HEARTBEAT = 16
-"""Maximum of reports in one datagram, 16 bytes each."""
+"""Maximum of reports in one datagram, 18 bytes each and 8 for each segment."""
 
 MAX_PENDING_REPORTS = 64
 """Maximum of reports that wait to be sent again."""
 
 MAX_SNAPSHOT_REPORTS = 2000
-"""Maximum of reports in a snapshot, 32 KB."""
+"""Maximum of reports in a snapshot, 84 KB with three segments each."""
 
 SEND_COUNT = 3
 """Heartbeats that carry the same report, in case some of them are lost."""
