Check that a response without a length was not cut by its endpoint's end

What callers saw: nothing, which is the fault. A process that ends closes its connections in order. A response with neither a length nor chunks ends with its connection, so that a stream cut after one of its events was forwarded as complete, and a part of a body as all of it. The router also took the request for served, which acquitted requests that end their engines.

Cause: the close of a connection was taken for the end of a response, whoever closed it.

An endpoint that is known to leave closes after its last response, which stays complete but acquits nothing.

--- a/packages/fleet/src/teaselledge_fleet/quarantine/quarantine.py
+++ b/packages/fleet/src/teaselledge_fleet/quarantine/quarantine.py
@@ -51,7 +51,7 @@
 class _Probe:
     """A running probe of an endpoint, and the requests that were in flight there."""
 
-    task: "asyncio.Task[None]"
+    task: "asyncio.Task[bool]"
     requests: dict[int, RequestContext] = field(default_factory=dict)
     """The requests by the hashes of their contents."""
 
@@ -110,13 +110,23 @@
         self._log_refused(context, verdict)
         return Fault(FaultKind.QUARANTINED)
 
-    def on_cut_off(self, context: RequestContext, endpoint: Endpoint) -> None:
+    async def has_ended(self, context: RequestContext, endpoint: Endpoint) -> bool:
+        """Whether an endpoint that closed a request's connection has ended.
+
+        If it has, that is reported like the end of a request that was cut off.
+        """
+        return await asyncio.shield(self.on_cut_off(context, endpoint))
+
+    def on_cut_off(
+        self, context: RequestContext, endpoint: Endpoint
+    ) -> "asyncio.Task[bool]":
         """Find out whether an endpoint that closed a request's connection has ended."""
         probe = self._probes.get(endpoint.id)
         if probe is None:
             task = asyncio.create_task(self._run_probe(endpoint))
             probe = self._probes[endpoint.id] = _Probe(task)
         probe.requests[content_hash(context)] = context
+        return probe.task
 
     async def settle(self, context: RequestContext) -> None:
         """Wait for running probes, if they may make a request a suspected one."""
@@ -172,13 +182,13 @@
         popped, self._unsent = self._unsent[:count], self._unsent[count:]
         return popped
 
-    async def _run_probe(self, endpoint: Endpoint) -> None:
+    async def _run_probe(self, endpoint: Endpoint) -> bool:
         try:
             ended = await self._probe.has_ended(endpoint.address)
         finally:
             probe = self._probes.pop(endpoint.id)
         if not ended:
-            return
+            return False
         self._metrics.increment("endpoint_ends", service=endpoint.service)
         _log.info(
             "endpoint ended",
@@ -198,6 +208,7 @@
         self._report(reports)
         if max(map(self._suspicion, reports)) >= SUSPECT_ENDS:
             self.on_suspicion()
+        return True
 
     def _suspicion(self, report: EndReport) -> int:
         """Return the number of endpoints that ended under a trait of a request."""
--- a/packages/fleet/src/teaselledge_fleet/request/attempt.py
+++ b/packages/fleet/src/teaselledge_fleet/request/attempt.py
@@ -155,6 +155,8 @@
         self._exchange: Exchange | None = None
         self._reader: EventReader | None = None
         self._ended = False
+        self._end_checked = False
+        self._end_certain = True
         self.rejection: Fault | None = None
         self.sent_at: float | None = None
 
@@ -183,6 +185,11 @@
         """Whether only the close of its connection shows that the response ended."""
         return self._exchange is not None and self._exchange.ended_by_close
 
+    @property
+    def end_certain(self) -> bool:
+        """Whether a response that was complete can't have been cut off."""
+        return self._end_certain
+
     async def open(self) -> ReadyResponse | Outcome:
         """Send the request, and read its response until it can be forwarded.
 
@@ -224,10 +231,13 @@
         """
         assert self._reader is not None
         try:
-            return await self._reader.read()
+            events = await self._reader.read()
         except IncompleteResponseError as error:
             self._on_incomplete(error)
             raise
+        if not events:
+            await self._check_end()
+        return events
 
     def end(self, outcome: Outcome) -> None:
         """End the attempt and record its outcome.
@@ -367,6 +377,10 @@
         except IncompleteResponseError as error:
             self._on_incomplete(error)
             return Outcome.LOST
+        try:
+            await self._check_end()
+        except IncompleteResponseError:
+            return Outcome.LOST
         failed = head.status >= MIN_SERVER_ERROR_STATUS
         outcome = Outcome.FAILED if failed else Outcome.WHOLE
         return ReadyResponse(head, b"".join(chunks), outcome=outcome)
@@ -378,8 +392,34 @@
             return self._lost_outcome
         return ReadyResponse(head, events, streamed=True)
 
+    async def _check_end(self) -> None:
+        """Check that the close that ended a response was not that of its endpoint.
+
+        A process that ends closes its connections in order. An endpoint that leaves
+        does so once it has served all, and its last response is complete.
+
+        Raises
+        ------
+        IncompleteResponseError
+            If the endpoint has ended.
+        """
+        if not self.ended_by_close or self._end_checked:
+            return
+        self._end_checked = True
+        resources, context, endpoint = self._resources, self.context, self.endpoint
+        if not resources.placer.may_send(context, endpoint):
+            self._end_certain = False
+            return
+        if await resources.quarantine.has_ended(context, endpoint):
+            error = IncompleteResponseError("the endpoint ended with its connection")
+            self._log_incomplete(error)
+            raise error
+
     def _on_incomplete(self, error: IncompleteResponseError) -> None:
         self._resources.quarantine.on_cut_off(self.context, self.endpoint)
+        self._log_incomplete(error)
+
+    def _log_incomplete(self, error: IncompleteResponseError) -> None:
         _log.info(
             "response incomplete",
             id=self.context.request.id,
--- a/packages/fleet/src/teaselledge_fleet/request/serving.py
+++ b/packages/fleet/src/teaselledge_fleet/request/serving.py
@@ -270,6 +270,7 @@
         self._fault: Fault | None = None
         self._last_event_at: float | None = None
         self._ended_by_close = False
+        self._end_certain = True
         self._resources = AttemptResources(
             proxy._codec,
             proxy._pool,
@@ -307,6 +308,7 @@
                 outcome = await self._finish_attempt(attempt, opened)
             finally:
                 self._ended_by_close = attempt.ended_by_close
+                self._end_certain = attempt.end_certain
                 attempt.end(outcome)
             if outcome in (Outcome.WHOLE, Outcome.ABANDONED):
                 return outcome, attempt.endpoint
@@ -532,7 +534,7 @@
 
     def _record_end(self, outcome: Outcome, endpoint: Endpoint | None) -> None:
         context = self.context
-        if outcome is Outcome.WHOLE:
+        if outcome is Outcome.WHOLE and self._end_certain:
             self._proxy._quarantine.on_served(context)
         now = asyncio.get_running_loop().time()
         self._record_metrics(outcome, now)
--- a/packages/fleet/tests/test_fatal_segments.py
+++ b/packages/fleet/tests/test_fatal_segments.py
@@ -127,6 +127,12 @@
         await check_load(fleet)
 
 
+async def test_engines_that_close_at_an_events_end_condemn_the_segment():
+    """Such streams counted as served, which acquitted the segment each time."""
+    async with segment_fleet(cut_inside=False) as fleet:
+        await check_load(fleet)
+
+
 def test_fatal_segments_are_refused_in_drawn_fleets_and_no_others():
     """Over loads, losses, restarts and other crashes, both limits together."""
     for seed in MODEL_SEEDS:
