Count each endpoint that one request ended as an event

Cause: endpoints that end within 20 ms count as one event, for the loss of a rack. Attempts of one request follow one another, so that its ends are never one event.

Change: traits under which all reports have one content count each endpoint. Requests that many callers send alike stay protected by what was served of them.

--- a/packages/fleet/src/teaselledge_fleet/quarantine/records.py
+++ b/packages/fleet/src/teaselledge_fleet/quarantine/records.py
@@ -6,13 +6,12 @@
 import zlib
 from collections import OrderedDict, defaultdict
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from teaselledge_fleet.quarantine.verdicts import (
     MIN_EVENTS,
     Suspect,
     Verdict,
-    count_events,
     find_verdicts,
 )
 
@@ -194,10 +193,6 @@
         """Return how many endpoints ended under a trait since it was served."""
         return len(self._ended_at(trait))
 
-    def event_count(self, trait: int) -> int:
-        """Return the number of events in which they ended."""
-        return count_events(self._ended_at(trait).values())
-
     def served_count(self, trait: int) -> int:
         """Return how many requests with a trait were served before its last ends."""
         served = self._served.get(trait)
@@ -230,24 +225,22 @@
 
     def _suspects(self) -> dict[int, Suspect]:
         """Return the traits that may have ended endpoints."""
-        ended_at = {}
+        suspects = {}
         for trait in self._frequent:
-            times = self._ended_at(trait)
+            suspect = self._suspect(trait)
             needed = max(MIN_EVENTS, self.served_count(trait) + 1)
-            if count_events(times.values()) >= needed:
-                ended_at[trait] = times
+            if suspect.count_events() >= needed:
+                suspects[trait] = suspect
         return {
-            trait: self._suspect(trait, times, ended_at)
-            for trait, times in ended_at.items()
+            trait: replace(each, companions=each.companions.intersection(suspects))
+            for trait, each in suspects.items()
         }
 
-    def _suspect(
-        self, trait: int, ended_at: dict[int, float], suspects: Iterable[int]
-    ) -> Suspect:
+    def _suspect(self, trait: int) -> Suspect:
         reports = self._by_trait[trait].values()
         companions = frozenset.intersection(*(report.traits for report in reports))
         identical = len({report.content for report in reports}) == 1
-        return Suspect(ended_at, companions.intersection(suspects), identical)
+        return Suspect(self._ended_at(trait), companions, identical)
 
     def _add_end(self, report: EndReport) -> bool:
         key = report.content, report.endpoint
--- a/packages/fleet/src/teaselledge_fleet/quarantine/verdicts.py
+++ b/packages/fleet/src/teaselledge_fleet/quarantine/verdicts.py
@@ -56,6 +56,14 @@
     companions: frozenset[int]
     identical: bool = False
 
+    def count_events(self, explained: Collection[int] = ()) -> int:
+        """Return the number of events that are not explained otherwise.
+
+        Attempts of one request follow one another, and retries are fast.
+        """
+        times = [at for each, at in self.ended_at.items() if each not in explained]
+        return len(times) if self.identical else count_events(times)
+
 
 @dataclass(frozen=True)
 class Verdict:
@@ -105,7 +113,7 @@
     remaining = dict(suspects)
     while remaining:
         events = {
-            trait: _count_unexplained(suspect, explained)
+            trait: suspect.count_events(explained)
             for trait, suspect in remaining.items()
         }
         remaining = {t: s for t, s in remaining.items() if events[t] >= MIN_EVENTS}
@@ -127,7 +135,7 @@
 def _verdict(suspect: Suspect) -> Verdict:
     times = suspect.ended_at.values()
     until = math.inf if suspect.identical else max(times) + _hold_seconds(len(times))
-    return Verdict(suspect.companions, count_events(times), until)
+    return Verdict(suspect.companions, suspect.count_events(), until)
 
 
 def _hold_seconds(ends: int) -> float:
@@ -147,17 +155,8 @@
             other
             for other, candidate in suspects.items()
             if suspect.companions < candidate.companions
-            and _count_unexplained(suspect, {*explained, *candidate.ended_at})
-            < MIN_EVENTS
+            and suspect.count_events({*explained, *candidate.ended_at}) < MIN_EVENTS
         ]
         if not narrower:
             return trait
-        trait = max(
-            narrower, key=lambda other: _count_unexplained(suspects[other], explained)
-        )
-
-
-def _count_unexplained(suspect: Suspect, explained: Collection[int]) -> int:
-    return count_events(
-        at for endpoint, at in suspect.ended_at.items() if endpoint not in explained
-    )
+        trait = max(narrower, key=lambda other: suspects[other].count_events(explained))
--- a/packages/fleet/tests/test_verdicts.py
+++ b/packages/fleet/tests/test_verdicts.py
@@ -240,3 +240,16 @@
     assert len(hashes("first", "second")) == 2
     assert hashes("first") == hashes("first", "second")[:1]
     assert len(hashes(*map(str, range(40)))) == 16
+
+
+def test_attempts_of_one_request_are_events_of_their_own(ends):
+    """Two engines that a request ended within 26 ms counted as one, and a fourth ended.
+
+    Different requests at engines that end together are no evidence against a segment.
+    """
+    for number in range(MIN_EVENTS):
+        at = 10.0 + number * EVENT_SECONDS / 2
+        ends.records.add(EndReport(TRIED, number + 1, at, (FATAL,)))
+        ends.records.add(EndReport(2000 + number, number + 1, at, (OTHER,)))
+    assert ends.refuses(FATAL)
+    assert not ends.refuses(OTHER)
