--- a/packages/fleet/src/teaselledge_fleet/process/metrics.py
+++ b/packages/fleet/src/teaselledge_fleet/process/metrics.py
@@ -154,8 +154,8 @@
     ),
     "contents_quarantined": Metric(
         "counter",
-        "contents",
-        "Contents of requests that are refused since, as endpoints ended under them.",
+        "combinations",
+        "Segments and contents that are refused since, as endpoints ended under them.",
     ),
     "retries": Metric(
         "counter",
--- a/packages/fleet/tests/test_fatal_segments.py
+++ b/packages/fleet/tests/test_fatal_segments.py
@@ -25,7 +25,6 @@
 
 FATAL_GAP_SECONDS, SOUND_GAP_SECONDS = 0.25, 0.04
 LOAD_SECONDS = 12.0
-MODEL_SEEDS = range(1, 25)
 
 
 @dataclass
@@ -133,10 +132,24 @@
         await check_load(fleet)
 
 
-def test_fatal_segments_are_refused_in_drawn_fleets_and_no_others():
-    """Over loads, losses, restarts and other crashes, both limits together."""
-    for seed in MODEL_SEEDS:
+def check_drawn_fleets(seeds: range) -> None:
+    """Check both limits over loads, losses, restarts and other crashes."""
+    for seed in seeds:
         case = CrashCase.draw(seed)
         for counts in run_case(case):
             result = counts.sent_late, counts.passed_fraction, len(counts.ends)
             assert counts.kept, (result, case)
+
+
+def test_fatal_segments_are_refused_in_drawn_fleets_and_no_others():
+    """Over loads, losses, restarts and other crashes, both limits together."""
+    check_drawn_fleets(range(1, 9))
+
+
+def test_fatal_segments_are_refused_in_further_drawn_fleets():
+    """A shared segment was refused that was in flight at one end more (seed 17)."""
+    check_drawn_fleets(range(9, 18))
+
+
+def test_fatal_segments_are_refused_in_the_last_drawn_fleets():
+    check_drawn_fleets(range(18, 25))
