--- a/tools/capacity_page.py
+++ b/tools/capacity_page.py
@@ -177,6 +177,9 @@
 | busiest router's control bytes at 89 / 195 / 370 routers, virtual clock | 7 KB/s | \
 8.5 / 9.0 / not run to its end; 8.2 at 89 without the origins of streams; 7.5 / 7.9 \
 / 26 KB/s before |
+| control bytes a router with an endpoint that ends each second, 24 requests of three \
+segments in flight, 9 / 40 / 89 routers, virtual clock, no load | 7 KB/s | 30.2 / 15.1 \
+/ 15.5 (3.8 / 1.9 / 2.1 without ends); 370 not run |
 | a change known everywhere, 195 routers, one datagram of ten lost, virtual clock | \
 1 s at p99 | 0.56 s |
 | processor time for control | 1.9 % of a core | not measured by itself; start and \
