--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -93,6 +93,7 @@
         self._log = []
         self._changed = asyncio.Event()
         self.calls = 0
+        self.down = False
 
     async def start(self):
         server = await asyncio.start_server(self._serve, self._host, 0)
@@ -145,6 +146,8 @@
             writer.close()
 
     async def _answer(self, method, path, query, body):
+        if self.down:
+            return 503, {}
         if path == "/rows-get":
             start, end = query.get("from", ""), query.get("to")
             rows = [
@@ -206,6 +209,7 @@
         self.name = name or f"i-{random.getrandbits(32):08x}"
         self.address = ""
         self.state = "ready"
+        self.leaving = False
         self._respond = respond
         self._sequence = 0
         self._born = int(time.time() * 1000)
@@ -224,6 +228,8 @@
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
     def announce(self):
+        if self.world.store.down:
+            return
         self._sequence += 1
         entry = {
             "service": self.service,
@@ -285,6 +291,8 @@
         ("X-Teaselledge-Request-Id", request.id),
         ("X-Teaselledge-Engine-Stamp", f"stamp.{engine.name}"),
     ]
+    if engine.leaving:
+        head.append(("Server-Leaving", "1"))
     writer.write(message("HTTP/1.1 200 OK", head, b"r" * 800))
     return True
 
