--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -16,6 +16,7 @@
 import sys
 import tempfile
 import time
+import traceback
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
@@ -573,7 +574,8 @@
 
     try:
         broken = asyncio.run(play())
-    except (CannotRun, OSError, TimeoutError) as error:
-        print(f"can't run: {error!r}", file=sys.stderr)
+    except Exception:
+        # any failure of the script itself says nothing about the rule
+        traceback.print_exc()
         sys.exit(2)
     sys.exit(1 if broken else 0)
