--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,12 +1,15 @@
-"""Another writer leaves an entry that can't be read among those of the engines.
+"""A machine freezes while its neighbour, in use by many clients, relays to it.
 
-Two routers serve orders. A row of 5,000 bytes with an unfinished list of lists appears
-under servers/, and is removed 3 s later. Then a new version of the configuration moves
-the orders to another service. Orders that are sent later than config_apply_ms after the
-store has taken that version, and after the row is gone, must run at the new service.
+Two routers of one zone. Clients keep connections to the first one and use it well.
+Then the second one freezes (SIGSTOP) for 3.5 s. Meanwhile other clients open new
+connections to the first router, which runs without any disruption, and send orders.
+Counted are the orders that are still unanswered at their route's timeout_ms, and those
+of them that are unanswered half a second later.
 """
 
 import asyncio
+import re
+import signal
 import sys
 import time
 from pathlib import Path
@@ -27,38 +30,69 @@
     plain_route,
 )
 
-CONFIG_APPLY_SECONDS = 2.5
-CONTACT_SECONDS = 4.0
-UNREADABLE = b'{"models":' + b"[" * 5000
-ORDERS = 20
+FREEZE_SECONDS = 3.5
+TIMEOUT_MS = 1000
+DEADLINE_MS = 2000
+KEPT_CONNECTIONS = 40
+ORDERS_PER_SECOND = 10
+CORES = 0.387
 
 
-async def order(world, router):
-    """Send an order; return its id and the status of its answer."""
-    request_id = new_id()
+async def use_steadily(world, router, rate, stop):
+    """Send reads on a kept connection, one after another."""
+    connection = None
+    while not stop.is_set():
+        started = time.monotonic()
+        try:
+            connection = connection or await Connection.open(router.front)
+            connection.send("GET", "/read/1", new_id(), DEADLINE_MS)
+            _, headers, _ = await asyncio.wait_for(connection.answer(), 3)
+            if headers.get("connection", "").lower() == "close":
+                connection.close()
+                connection = None
+        except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+            connection = None
+        await asyncio.sleep(max(0.0, 1 / rate[0] - (time.monotonic() - started)))
+
+
+async def order(world, router, results):
+    """Send an order on a new connection; record when it is answered."""
+    request_id, started = new_id(), time.monotonic()
     world.record.write("sent", id=request_id, router=router.name)
-    connection = await Connection.open(router.front)
+    answered, status = None, "none"
     try:
-        connection.send("POST", "/order/1", request_id, 2000, body=b"x" * 600)
-        status, _, _ = await asyncio.wait_for(connection.answer(), 3)
-    except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError) as error:
-        status = type(error).__name__
+        connection = await Connection.open(router.front)
+        connection.send("POST", "/order/1", request_id, DEADLINE_MS, body=b"x" * 600)
+        left = DEADLINE_MS / 1000 - (time.monotonic() - started)
+        status, _, _ = await asyncio.wait_for(connection.answer(), left)
+        answered = time.monotonic() - started
+    except asyncio.TimeoutError:
+        pass
+    except (OSError, asyncio.IncompleteReadError) as error:
+        status, answered = type(error).__name__, time.monotonic() - started
     connection.close()
-    world.record.write("answered", id=request_id, status=status)
-    return request_id, status
+    after = "never" if answered is None else f"{answered:.3f}"
+    world.record.write("answered", id=request_id, status=status, after_s=after)
+    results.append(answered)
+
+
+async def relayed(router):
+    found = re.findall(r"connections_passed_on\S*\s+([0-9.e+]+)", await router.metrics())
+    return sum(float(value) for value in found)
 
 
 async def run(world):
-    services = ["desk-old", "desk-new"]
-    engines = {}
-    for service in services:
-        for _ in range(2):
-            engine = Engine(world, world.host(9), service, "zone-a", answer_plainly)
-            engines[engine.name] = engine
-            await engine.start()
-    old = [plain_route("order", "desk-old", "unsafe", 2000)]
-    world.put_configuration(configuration(old, services, version=7))
-    routers = [Router(world, f"router-{n}", "zone-a", world.host(n)) for n in (2, 3)]
+    plain = [
+        plain_route("read", "desk", "safe", TIMEOUT_MS, attempts=2),
+        plain_route("order", "desk", "unsafe", TIMEOUT_MS),
+    ]
+    world.put_configuration(configuration(plain, ["desk"]))
+    for _ in range(3):
+        await Engine(world, world.host(9), "desk", "zone-a", answer_plainly).start()
+    busy, frozen = (
+        Router(world, f"router-{n}", "zone-a", world.host(n), CORES) for n in (2, 3)
+    )
+    routers = [busy, frozen]
     for router in routers:
         router.choose_ports()
     seeds = [f"{r.host}:{r.ports['control']}" for r in routers]
@@ -67,40 +101,48 @@
         await router.start()
     for router in routers:
         await router.wait_ready()
-    await asyncio.sleep(3)
-    for router in routers:
-        _, status = await order(world, router)
-        if status != 200:
-            raise CannotRun(f"no order is served before the disruption: {status}")
+    await asyncio.sleep(2)
+    stop, rate = asyncio.Event(), [2.0]
+    users = [
+        asyncio.create_task(use_steadily(world, busy, rate, stop))
+        for _ in range(KEPT_CONNECTIONS)
+    ]
+    # raises the use of the first router until it relays most new connections
+    for step in range(12):
+        results, before = [], await relayed(busy)
+        for _ in range(20):
+            asyncio.create_task(order(world, busy, results))
+            await asyncio.sleep(1 / ORDERS_PER_SECOND)
+        count = await relayed(busy) - before
+        world.record.say(f"rate {rate[0]:.1f}: {count:.0f} of 20 orders relayed")
+        if count >= 14:
+            break
+        rate[0] *= 1.25
+    else:
+        raise CannotRun("the first router relays nothing")
+    await asyncio.sleep(2)
+    world.record.say("freeze begins" if world.trouble else "no freeze")
     if world.trouble:
-        world.record.say("an unreadable entry is written")
-        world.store.put("servers", "of-another-writer", UNREADABLE)
-    await asyncio.sleep(3)
-    world.store.drop("servers", "of-another-writer")
-    world.record.say("no unreadable entry is left")
-    await asyncio.sleep(CONTACT_SECONDS)
-    new = [plain_route("order", "desk-new", "unsafe", 2000)]
-    world.put_configuration(configuration(new, services, version=9))
-    world.record.say("version 9 acknowledged: orders go to desk-new")
-    await asyncio.sleep(2 * CONFIG_APPLY_SECONDS)
-    stale = 0
-    for number in range(ORDERS):
-        request_id, _ = await order(world, routers[number % len(routers)])
-        ran_at = [name for run_id, name, _ in world.runs if run_id == request_id]
-        stale += any(engines[name].service == "desk-old" for name in ran_at)
-    world.record.say(
-        f"orders sent {2 * CONFIG_APPLY_SECONDS:.0f} s after version 9 and later: "
-        f"{ORDERS}, run by the old service: {stale}"
-    )
-    # the store still serves everybody, the routers just don't ask any more
-    calls = world.store.calls
-    started = time.monotonic()
-    await asyncio.sleep(5)
+        frozen.send_signal(signal.SIGSTOP)
+    results, orders = [], []
+    ends = time.monotonic() + FREEZE_SECONDS
+    while time.monotonic() < ends:
+        orders.append(asyncio.create_task(order(world, busy, results)))
+        await asyncio.sleep(1 / ORDERS_PER_SECOND)
+    if world.trouble:
+        frozen.send_signal(signal.SIGCONT)
+    await asyncio.gather(*orders)
+    stop.set()
+    await asyncio.gather(*users)
+    late = [each for each in results if each is None or each > TIMEOUT_MS / 1000]
+    silent = [
+        each for each in late if each is None or each > TIMEOUT_MS / 1000 + 0.5
+    ]
     world.record.say(
-        f"calls to the store in {time.monotonic() - started:.0f} s: "
-        f"{world.store.calls - calls}"
+        f"orders {len(results)}, unanswered at timeout_ms {len(late)}, "
+        f"unanswered 0.5 s later {len(silent)}"
     )
-    return stale > 0
+    return len(silent) > len(late) / 2 and len(silent) >= 8
 
 
 main(FOLDER, run)
