--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,10 +1,12 @@
-"""A machine freezes while its neighbour, in use by many clients, relays to it.
+"""All routers are killed at once, and clients take up their streams afterwards.
 
-Two routers of one zone. Clients keep connections to the first one and use it well.
-Then the second one freezes (SIGSTOP) for 3.5 s. Meanwhile other clients open new
-connections to the first router, which runs without any disruption, and send orders.
-Counted are the orders that are still unanswered at their route's timeout_ms, and those
-of them that are unanswered half a second later.
+Two routers, three engines, all of one software version. Clients have streams open that
+may be resumed when all processes of the system are killed (herd_kill). They start again
+half a second later and are ready within two more. Clients take their streams up with
+Last-Event-Id and Resumes, again and again within their deadline. Counted are the streams
+that are taken up at routers in touch, contact_ms after their start and later, and those
+that go on; beside them, new streams. Without the trouble nothing is killed, and clients
+break their connections themselves.
 """
 
 import asyncio
@@ -23,76 +25,117 @@
     Engine,
     Router,
     World,
-    answer_plainly,
     configuration,
     main,
     new_id,
     plain_route,
 )
 
-FREEZE_SECONDS = 3.5
-TIMEOUT_MS = 1000
-DEADLINE_MS = 2000
-KEPT_CONNECTIONS = 40
-ORDERS_PER_SECOND = 10
-CORES = 0.387
+DEADLINE_MS = 10000
+STREAMS = 30
+NEW_STREAMS = 20
+EVENTS = 24
+EVENT_SECONDS = 0.1
+DOWN_SECONDS = 0.5
+CONTACT_SECONDS = 4.0
+MIN_TAKEN_UP = 12
 
 
-async def use_steadily(world, router, rate, stop):
-    """Send reads on a kept connection, one after another."""
-    connection = None
-    while not stop.is_set():
-        started = time.monotonic()
+async def answer_stream(engine, request, writer):
+    """Send the events after the last one that the client has."""
+    writer.write(
+        (
+            "HTTP/1.1 200 OK\r\n"
+            f"X-Teaselledge-Request-Id: {request.id}\r\n"
+            f"X-Teaselledge-Engine-Stamp: stamp.{engine.name}\r\n"
+            "Content-Type: text/event-stream\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n"
+        ).encode()
+    )
+    first = int(request.headers.get("last-event-id", "0")) + 1
+    for number in range(first, EVENTS + 1):
+        event = f"id: {number}\ndata: {engine.version}\n\n".encode()
+        writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+        await writer.drain()
+        await asyncio.sleep(EVENT_SECONDS)
+    writer.write(b"0\r\n\r\n")
+    return True
+
+
+class Stream:
+    """A client's stream, over all its attempts."""
+
+    def __init__(self, world, router):
+        self.world = world
+        self.router = router
+        self.started = time.monotonic()
+        self.last_event = 0
+        self.first_id = ""
+        self.connection = None
+
+    @property
+    def complete(self):
+        return self.last_event == EVENTS
+
+    async def attempt(self):
+        """Send the stream, or take it up; return whether events came."""
+        request_id, data = new_id(), b""
+        left = int(DEADLINE_MS - (time.monotonic() - self.started) * 1000)
+        if left <= 0:
+            return False
+        headers = [
+            ("Connection", "close"),
+            ("X-Teaselledge-Model", "m"),
+            ("X-Teaselledge-Token-Counts", "100,120"),
+            ("X-Teaselledge-Prefix-Hash", f"aa:60,{request_id}:40"),
+        ]
+        if self.last_event:
+            headers.append(("Last-Event-Id", str(self.last_event)))
+            headers.append(("Resumes", self.first_id))
+        self.world.record.write(
+            "sent", id=request_id, resumes=self.first_id, after=self.last_event
+        )
         try:
-            connection = connection or await Connection.open(router.front)
-            connection.send("GET", "/read/1", new_id(), DEADLINE_MS)
-            _, headers, _ = await asyncio.wait_for(connection.answer(), 3)
-            if headers.get("connection", "").lower() == "close":
-                connection.close()
-                connection = None
-        except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
-            connection = None
-        await asyncio.sleep(max(0.0, 1 / rate[0] - (time.monotonic() - started)))
-
-
-async def order(world, router, results):
-    """Send an order on a new connection; record when it is answered."""
-    request_id, started = new_id(), time.monotonic()
-    world.record.write("sent", id=request_id, router=router.name)
-    answered, status = None, "none"
-    try:
-        connection = await Connection.open(router.front)
-        connection.send("POST", "/order/1", request_id, DEADLINE_MS, body=b"x" * 600)
-        left = DEADLINE_MS / 1000 - (time.monotonic() - started)
-        status, _, _ = await asyncio.wait_for(connection.answer(), left)
-        answered = time.monotonic() - started
-    except asyncio.TimeoutError:
-        pass
-    except (OSError, asyncio.IncompleteReadError) as error:
-        status, answered = type(error).__name__, time.monotonic() - started
-    connection.close()
-    after = "never" if answered is None else f"{answered:.3f}"
-    world.record.write("answered", id=request_id, status=status, after_s=after)
-    results.append(answered)
-
-
-async def relayed(router):
-    found = re.findall(r"connections_passed_on\S*\s+([0-9.e+]+)", await router.metrics())
-    return sum(float(value) for value in found)
+            self.connection = await Connection.open(self.router.front)
+            self.connection.send(
+                "POST", "/brief/1", request_id, left, headers, b"x" * 100
+            )
+            async with asyncio.timeout(left / 1000):
+                while part := await self.connection.reader.read(1 << 16):
+                    data += part
+        except (OSError, TimeoutError):
+            pass
+        if self.connection is not None:
+            self.connection.close()
+        numbers = [int(n) for n in re.findall(rb"id: (\d+)\ndata: \w+\n\n", data)]
+        if numbers:
+            self.last_event = numbers[-1]
+            self.first_id = self.first_id or request_id
+        status = data[9:12].decode() or "none"
+        self.world.record.write(
+            "answered", id=request_id, status=status, events=len(numbers)
+        )
+        return bool(numbers)
 
 
 async def run(world):
-    plain = [
-        plain_route("read", "desk", "safe", TIMEOUT_MS, attempts=2),
-        plain_route("order", "desk", "unsafe", TIMEOUT_MS),
+    routes = [
+        plain_route(
+            "brief",
+            "llm",
+            "stream",
+            DEADLINE_MS,
+            attempts=2,
+            resumable=True,
+            sticky=True,
+            slo_ms=1500,
+            itl_target_ms=400,
+        )
     ]
-    world.put_configuration(configuration(plain, ["desk"]))
+    world.put_configuration(configuration(routes, ["llm"]))
     for _ in range(3):
-        await Engine(world, world.host(9), "desk", "zone-a", answer_plainly).start()
-    busy, frozen = (
-        Router(world, f"router-{n}", "zone-a", world.host(n), CORES) for n in (2, 3)
-    )
-    routers = [busy, frozen]
+        await Engine(world, world.host(9), "llm", "zone-a", answer_stream).start()
+    routers = [Router(world, f"router-{n}", "zone-a", world.host(n)) for n in (2, 3)]
     for router in routers:
         router.choose_ports()
     seeds = [f"{r.host}:{r.ports['control']}" for r in routers]
@@ -101,48 +144,45 @@
         await router.start()
     for router in routers:
         await router.wait_ready()
-    await asyncio.sleep(2)
-    stop, rate = asyncio.Event(), [2.0]
-    users = [
-        asyncio.create_task(use_steadily(world, busy, rate, stop))
-        for _ in range(KEPT_CONNECTIONS)
-    ]
-    # raises the use of the first router until it relays most new connections
-    for step in range(12):
-        results, before = [], await relayed(busy)
-        for _ in range(20):
-            asyncio.create_task(order(world, busy, results))
-            await asyncio.sleep(1 / ORDERS_PER_SECOND)
-        count = await relayed(busy) - before
-        world.record.say(f"rate {rate[0]:.1f}: {count:.0f} of 20 orders relayed")
-        if count >= 14:
-            break
-        rate[0] *= 1.25
-    else:
-        raise CannotRun("the first router relays nothing")
-    await asyncio.sleep(2)
-    world.record.say("freeze begins" if world.trouble else "no freeze")
-    if world.trouble:
-        frozen.send_signal(signal.SIGSTOP)
-    results, orders = [], []
-    ends = time.monotonic() + FREEZE_SECONDS
-    while time.monotonic() < ends:
-        orders.append(asyncio.create_task(order(world, busy, results)))
-        await asyncio.sleep(1 / ORDERS_PER_SECOND)
+    await asyncio.sleep(10)
+    streams = [Stream(world, routers[n % 2]) for n in range(STREAMS)]
+    tasks = [asyncio.create_task(each.attempt()) for each in streams]
+    await asyncio.sleep(1.2)
     if world.trouble:
-        frozen.send_signal(signal.SIGCONT)
-    await asyncio.gather(*orders)
-    stop.set()
-    await asyncio.gather(*users)
-    late = [each for each in results if each is None or each > TIMEOUT_MS / 1000]
-    silent = [
-        each for each in late if each is None or each > TIMEOUT_MS / 1000 + 0.5
-    ]
+        world.record.say("all processes of the system are killed")
+        for router in routers:
+            router.send_signal(signal.SIGKILL)
+        await asyncio.gather(*(router.process.wait() for router in routers))
+        await asyncio.sleep(DOWN_SECONDS)
+        for router in routers:
+            await router.start()
+    else:
+        for each in streams:
+            each.connection.close()
+    started = time.monotonic()
+    await asyncio.gather(*tasks)
+    begun = [each for each in streams if each.last_event and not each.complete]
+    if len(begun) < MIN_TAKEN_UP:
+        raise CannotRun(f"only {len(begun)} streams were broken off")
+    for router in routers:
+        await router.wait_ready()
+    world.record.say(f"ready {time.monotonic() - started:.1f} s after the start")
+    await asyncio.sleep(started + CONTACT_SECONDS + 0.3 - time.monotonic())
+    taken_up, went_on = len(begun), set()
+    for _ in range(3):
+        left = [each for each in begun if each not in went_on]
+        goes_on = await asyncio.gather(*(each.attempt() for each in left))
+        went_on |= {each for each, on in zip(left, goes_on, strict=True) if on}
+        if len(went_on) == taken_up:
+            break
+        await asyncio.sleep(0.5)
+    new = [Stream(world, routers[n % 2]) for n in range(NEW_STREAMS)]
+    begin = sum(await asyncio.gather(*(each.attempt() for each in new)))
     world.record.say(
-        f"orders {len(results)}, unanswered at timeout_ms {len(late)}, "
-        f"unanswered 0.5 s later {len(silent)}"
+        f"streams taken up at routers in touch {taken_up}, go on {len(went_on)}; "
+        f"new streams {len(new)}, begin {begin}"
     )
-    return len(silent) > len(late) / 2 and len(silent) >= 8
+    return len(went_on) / taken_up < begin / len(new) / 2
 
 
 main(FOLDER, run)
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -216,6 +216,7 @@
         self._born = int(time.time() * 1000)
         self._server = None
         self._task = None
+        self._writers = set()
 
     async def start(self, announce=True):
         self._server = await asyncio.start_server(self._serve, self.host, 0)
@@ -228,6 +229,25 @@
             self.announce()
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
+    async def crash(self):
+        """End as a process does: connections are reset, and nothing listens."""
+        self._task.cancel()
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        self.world.record.write("crash", engine=self.name, version=self.version)
+
+    async def restart(self, version):
+        """Start again under the same id and address, and announce that first."""
+        self.version = version
+        self._sequence = 0
+        self._born = int(time.time() * 1000)
+        self._task = asyncio.create_task(self._announce_forever())
+        await asyncio.sleep(0)
+        port = int(self.address.rpartition(":")[2])
+        self._server = await asyncio.start_server(self._serve, self.host, port)
+        self.world.record.write("restart", engine=self.name, version=version)
+
     def announce(self):
         if self.world.store.down:
             return
@@ -246,6 +266,7 @@
         self.world.store.put("servers", self.name, json.dumps(entry).encode())
 
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         try:
             while True:
                 line, headers = await read_head(reader)
@@ -271,6 +292,7 @@
         except (asyncio.IncompleteReadError, ConnectionError, OSError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
 
