--- a/review/1/case.py
+++ b/review/1/case.py
@@ -103,4 +103,4 @@
     return stale > 0
 
 
-main(FOLDER, run)
+main(FOLDER / "record.txt", run)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -185,4 +185,4 @@
     return len(went_on) / taken_up < begin / len(new) / 2
 
 
-main(FOLDER, run)
+main(FOLDER / "record.txt", run)
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -33,8 +33,8 @@
 class Record:
     """What was sent, answered and run, with times since the start."""
 
-    def __init__(self, folder):
-        self._file = open(Path(folder) / "record.txt", "w")
+    def __init__(self, path):
+        self._file = open(path, "w")
         self._started = time.monotonic()
 
     def now(self):
@@ -480,9 +480,9 @@
 class World:
     """The folder, the store, the engines and the routers of one run."""
 
-    def __init__(self, case_folder):
+    def __init__(self, record_path):
         self.folder = Path(tempfile.mkdtemp(prefix="teaselledge-review-"))
-        self.record = Record(case_folder)
+        self.record = Record(record_path)
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.zones = {"zone-a": "region-a"}
         self.processes = []
@@ -582,11 +582,11 @@
     return f"{random.getrandbits(64):016x}"
 
 
-def main(case_folder, run):
-    """Run a case; exit with 1 if the rule was broken, 0 if it held, else 2."""
+def main(record_path, run):
+    """Run a case and write its record; exit with 1 if the rule was broken, 0 if it held, else 2."""
 
     async def play():
-        world = World(case_folder)
+        world = World(record_path)
         try:
             await world.store.start()
             async with asyncio.timeout(110):
