Router: a background task that ends starts again, and is reported

Cause: FleetRouter.start kept its five tasks in a list that nobody awaited, so the end of one was seen by nobody.

Ruled out: ending the process instead. It would lose the queue and all connections, and come back to the same input.

Change: a package of its own, supervision/: TaskSupervisor restarts a task that raised, returned or was cancelled by something it awaited, after 0.1 s, doubled up to 2 s while it fails at once; it logs "task ended" with the frames and counts task_restarts. Errors of callbacks and of tasks that nothing awaits are logged and counted, too (unhandled_errors), where asyncio wrote plain text to the standard error.

--- a/packages/fleet/src/teaselledge_fleet/process/metrics.py
+++ b/packages/fleet/src/teaselledge_fleet/process/metrics.py
@@ -112,6 +112,9 @@
     "peer_malformed": Metric(
         "counter", "datagrams", "Datagrams that could not be read."
     ),
+    "unhandled_errors": Metric(
+        "counter", "errors", "Errors of callbacks and tasks that no code handled."
+    ),
     "admissions_asked": Metric(
         "counter", "questions", "Questions to routers that admit to an endpoint."
     ),
@@ -140,6 +143,12 @@
         "Responses to connections that were passed on, by the reason of a refusal.",
         ("refused",),
     ),
+    "task_restarts": Metric(
+        "counter",
+        "restarts",
+        "Restarts of tasks that run as long as the process: each is a fault.",
+        ("task",),
+    ),
     "requests": Metric(
         "counter", "requests", "Ended requests.", ("outcome", "fault", "service")
     ),
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -52,6 +52,10 @@
 from teaselledge_fleet.quarantine.spreading import EndSpreading
 from teaselledge_fleet.request.call import HeaderCodec
 from teaselledge_fleet.request.serving import RequestProxy
+from teaselledge_fleet.supervision.tasks import (
+    TaskSupervisor,
+    report_unhandled_errors,
+)
 from teaselledge_fleet.version.residency import ANYWHERE
 from teaselledge_fleet.version.routes import (
     CallerLimits,
@@ -215,7 +219,7 @@
             settings.grace_seconds, self._front, self._server
         )
         self._page_servers: list[PageServer] = []
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks = TaskSupervisor(self._metrics)
         self._store_cache.on_change.append(self._apply_store_cache)
 
     def _connect_to_fleet(self, coordinators: Coordinators) -> None:
@@ -263,13 +267,12 @@
         if listeners.metrics:
             self._listen(listeners.metrics, self._serve_metrics)
         await self._socket.listen(*_split(listeners.peers))
-        self._tasks = [
-            asyncio.create_task(self._gossip.run()),
-            asyncio.create_task(self._admission_rpc.run()),
-            asyncio.create_task(self._store_poller.run()),
-            asyncio.create_task(self._registration.run()),
-            asyncio.create_task(self._event_loop.run()),
-        ]
+        report_unhandled_errors(asyncio.get_running_loop(), self._metrics)
+        self._tasks.start("gossip", self._gossip.run)
+        self._tasks.start("admission", self._admission_rpc.run)
+        self._tasks.start("store", self._store_poller.run)
+        self._tasks.start("registration", self._registration.run)
+        self._tasks.start("event-loop", self._event_loop.run)
         _log.info("router started", vm=self._settings.place.vm)
 
     def apply_settings(self, settings: FleetSettings) -> None:
@@ -294,8 +297,7 @@
 
     async def close(self) -> None:
         """Close at once, without notifying other routers."""
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
         self._front.stop()
         await self._front.close()
         for server in self._page_servers:
