Peers: a message that can't be applied is counted and ignored

During an upgrade a router may send a state, or leave a field out, that this release does not expect.

Cause: decode_datagram checks the encoding only. The handlers raised on a value that they do not know (ValueError: 77 is not a valid MemberState), out of the callback of the socket, which asyncio reported; the datagrams behind it in the same read waited for the next iteration.

Change: PeerSocket counts such a datagram as malformed and goes on; a fetch that can't be applied counts as failed.

--- a/packages/fleet/src/teaselledge_fleet/connection/peers.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/peers.py
@@ -85,13 +85,21 @@
         """Decode a datagram and call the handler of its message type."""
         decoded = decode_datagram(data)
         if decoded.is_error():
-            self._malformed_count += 1
-            if self._malformed_count == 1:
-                _log.warning("datagram malformed", error=decoded.error)
+            self._record_malformed(decoded.error)
             return
         handler = self._handlers.get(type(decoded.ok))
-        if handler is not None:
+        if handler is None:
+            return
+        try:
             handler(decoded.ok, address)
+        except Exception as error:
+            # a field may be missing or hold a value of a later release
+            self._record_malformed(repr(error))
+
+    def _record_malformed(self, error: str) -> None:
+        self._malformed_count += 1
+        if self._malformed_count == 1:
+            _log.warning("datagram malformed", error=error)
 
     def send(self, address: str, payload: Datagram) -> None:
         """Send a message to an address."""
@@ -133,7 +141,8 @@
                 connect_timeout=SNAPSHOT_TIMEOUT_SECONDS,
                 request_timeout=SNAPSHOT_TIMEOUT_SECONDS,
             )
-        except (HTTPClientError, OSError) as error:
+        except (HTTPClientError, OSError, ValueError) as error:
+            # a ValueError if the address that the peer sent is none
             return Error(repr(error))
         decoded = decode_state(response.body)
         return Ok(decoded.ok) if decoded.is_ok() else Error(decoded.error)
--- a/packages/fleet/src/teaselledge_fleet/process/gossip.py
+++ b/packages/fleet/src/teaselledge_fleet/process/gossip.py
@@ -242,7 +242,12 @@
         if fetched.is_error():
             _log.info("snapshot not fetched", peer=address, error=fetched.error)
             return False
-        self._apply_snapshot(fetched.ok)
+        try:
+            self._apply_snapshot(fetched.ok)
+        except Exception as error:
+            # a field may be missing or hold a value of a later release
+            _log.warning("snapshot malformed", peer=address, error=repr(error))
+            return False
         return True
 
     def close(self) -> None:
