Endpoints: an error in the reader of a response ends the attempt at once

Callers saw: an engine's head with "Keep-Alive: timeout=²" (one byte, 0xB2) left its caller without an answer until the deadline.

Cause: str.isdigit accepts digits that float and int don't. The ValueError ended the task that reads the connection; the connection was closed, but the request that waited for its queue was not told.

Change: only ASCII digits are a time; and whatever the reader raises fails the exchange as unreadable, so that the attempt ends, is logged with its frames and may be retried.

--- a/packages/fleet/src/teaselledge_fleet/connection/endpoint.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/endpoint.py
@@ -25,6 +25,7 @@
     ResponseParser,
 )
 from teaselledge_fleet.connection.sendbuffers import Reader, SendBuffers
+from teaselledge_fleet.log import get_log
 from teaselledge_fleet.request.call import CallerRequest, HeaderCodec, ResponseHead
 
 __all__ = [
@@ -35,6 +36,8 @@
     "SendFault",
 ]
 
+_log = get_log("endpoints")
+
 CONNECT_SECONDS = 0.5
 """Timeout for establishing a connection.
 
@@ -224,6 +227,10 @@
         """Fail the exchange, as the connection ended without a clean close."""
         await self._fail(SendFault.CLOSED, None)
 
+    async def on_unreadable(self, error: Exception) -> None:
+        """Fail the exchange, as its response can't be processed."""
+        await self._fail(SendFault.GARBAGE, error)
+
     async def _put(self, part: _ResponsePart) -> None:
         if not self._cancelled:
             await self._queue.put(part)
@@ -417,6 +424,10 @@
                 await self._exchange.feed(data)
         except StreamClosedError as error:
             await self._end_exchange(error.real_error is None)
+        except Exception as error:
+            _log.exception("unexpected error in a response", address=self._address)
+            if self._exchange is not None:
+                await self._exchange.on_unreadable(error)
         finally:
             self._stream.close()
 
@@ -445,6 +456,6 @@
 def _parse_keep_alive_timeout(value: str) -> float | None:
     for item in value.split(","):
         name, _, number = item.strip().partition("=")
-        if name.lower() == "timeout" and number.isdigit():
+        if name.lower() == "timeout" and number.isascii() and number.isdigit():
             return float(number)
     return None
