--- a/packages/fleet/src/teaselledge_fleet/request/defaultcodec.py
+++ b/packages/fleet/src/teaselledge_fleet/request/defaultcodec.py
@@ -1,5 +1,6 @@
 """The product's own headers."""
 
+import math
 import secrets
 
 from tornado.httputil import HTTPHeaders
@@ -122,6 +123,10 @@
 
 def _parse_seconds(text: str | None) -> float | None:
     try:
-        return float(text) if text is not None else None
+        seconds = float(text) if text is not None else None
     except ValueError:
         return None
+    # a deadline that is not a number would stop the timers of the event loop
+    if seconds is None or not math.isfinite(seconds):
+        return None
+    return max(0.0, seconds)
--- a/packages/fleet/tests/test_unexpected_heads.py
+++ b/packages/fleet/tests/test_unexpected_heads.py
@@ -4,9 +4,11 @@
 
 from teaselledge_fleet.connection.endpoint import EndpointConnection
 from teaselledge_fleet.request.context import Outcome
+from teaselledge_fleet.request.defaultcodec import DefaultHeaderCodec
 from teaselledge_fleet.version.routes import RetryPolicy
 from teaselledge_standins.routes import make_route, running_route, send_request
 from teaselledge_standins.scripted import ScriptedEndpoint, response_bytes
+from tornado.httputil import HTTPHeaders
 
 ANSWER_SECONDS = 2.0
 """Less than half of the time limit of the route."""
@@ -47,3 +49,11 @@
         assert await get("timeout=4") == (502, [Outcome.LOST])
     finally:
         EndpointConnection.update_keep_alive = update
+
+
+def test_a_deadline_that_is_no_finite_number_is_ignored():
+    """One that is not a number stopped the timers of the event loop."""
+    for text in ("nan", "inf", "-inf", "1e999"):
+        headers = HTTPHeaders({"X-Deadline-Seconds": text})
+        request = DefaultHeaderCodec().decode_request("GET", "/r/1", headers)
+        assert request.timeout_seconds is None
