Serving: the end of a request names what it resumes, and the version that served

A refused resumption had no line that says whether its caller named the attempt that began the stream, and the version a stream was bound to was in no line.

--- a/packages/fleet/src/teaselledge_fleet/request/serving.py
+++ b/packages/fleet/src/teaselledge_fleet/request/serving.py
@@ -550,6 +550,9 @@
             outcome=outcome.name.lower(),
             fault=self._fault.kind.value if self._fault is not None else None,
             endpoint=endpoint.id if endpoint is not None else None,
+            resumes_after=context.request.resume_after,
+            resumes=context.request.resumed_request,
+            engine_version=context.engine_version,
             tried=context.attempted_endpoints,
             prompt=context.request.prompt.input_tokens
             if context.request.prompt
