Streams: a caller that names no attempt is held to the same certainty

Cause: only_version trusted the one version that a service has now as soon as the caller named no attempt (complete was False), whatever had served before this process started.

Evidence: the new test (three routers, two versions, the old one leaves, all routers start again, twelve streams are taken up, half of them unnamed) failed before: streams of v1 went on at v2.

Change: one rule, that of a named attempt. The test of the old exception is replaced by one that asks the same of both kinds of caller, which is stricter.

--- a/packages/fleet/src/teaselledge_fleet/migration/resuming.py
+++ b/packages/fleet/src/teaselledge_fleet/migration/resuming.py
@@ -13,9 +13,8 @@
 UNANSWERED_RETRY_SECONDS = 0.2
 """The caller's next attempt meets another router, which may know the stream."""
 
-OnlyVersion = Callable[[str, bool], str | None]
-"""Returns the version of a service if it has just one, else None. The second argument
-says whether it must be certain of the time before this router has started, too."""
+OnlyVersion = Callable[[str], str | None]
+"""Returns the version of a service if it certainly had just one lately, else None."""
 
 
 def decide_resumption(
@@ -36,7 +35,7 @@
     service : str
         Service at which a new request would be placed.
     only_version : callable
-        Returns the version of a service if it has just one.
+        Returns the version of a service if it certainly had just one lately.
     """
     if isinstance(found, StreamOrigin):
         if all(target.service != found.service for target in route.targets):
@@ -44,7 +43,7 @@
         return Ok(found)
     version = None
     if len(route.targets) == 1:
-        version = only_version(service, found is not None)
+        version = only_version(service)
     if version is not None:
         return Ok(StreamOrigin(service, version))
     if found is NotFound.UNANSWERED:
--- a/packages/fleet/src/teaselledge_fleet/migration/versions.py
+++ b/packages/fleet/src/teaselledge_fleet/migration/versions.py
@@ -42,18 +42,14 @@
             self._first_seen_at.setdefault(service, now)
         self._present = present
 
-    def only_version(self, service: str, complete: bool) -> str | None:
-        """Return the version of a service if it had just one, else None.
-
-        Parameters
-        ----------
-        service : str
-            Name of the service.
-        complete : bool
-            Whether the service must have been known for as long as a version counts.
+    def only_version(self, service: str) -> str | None:
+        """Return the version of a service if it certainly had just one, else None.
+
+        Until the service has been known for as long as a version counts, another one
+        may have begun streams before.
         """
         now = self._clock()
-        if complete and now - self._first_seen_at.get(service, now) < HISTORY_SECONDS:
+        if now - self._first_seen_at.get(service, now) < HISTORY_SECONDS:
             return None
         recent = [
             version
--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -255,9 +255,9 @@
         self._in_flight.record_allocation(context, admitted.endpoint)
         return self._placement(context, admitted)
 
-    def only_version(self, service: str, complete: bool) -> str | None:
-        """Return the software version of a service if it has just one, else None."""
-        return self._versions.only_version(service, complete)
+    def only_version(self, service: str) -> str | None:
+        """Return the version of a service if it certainly had just one lately."""
+        return self._versions.only_version(service)
 
     def is_inside_share(self, context: RequestContext) -> bool:
         """Whether the organisation of a request is inside its share."""
--- a/packages/fleet/tests/test_origins.py
+++ b/packages/fleet/tests/test_origins.py
@@ -85,23 +85,22 @@
     history = VersionHistory(clock)
     history.update(endpoints("v1", "v1"))
     clock.now = 10 * HISTORY_SECONDS
-    assert history.only_version("books", True) == "v1"
+    assert history.only_version("books") == "v1"
     history.update(endpoints("v1", "v2"))
-    assert history.only_version("books", False) is None
+    assert history.only_version("books") is None
     clock.now += 5.0
     history.update(endpoints("v2"))
     clock.now += HISTORY_SECONDS - 1.0
-    assert history.only_version("books", False) is None
+    assert history.only_version("books") is None
     clock.now += 2.0
-    assert history.only_version("books", True) == "v2"
+    assert history.only_version("books") == "v2"
 
 
 def test_a_router_that_has_just_started_does_not_know_earlier_versions(clock):
     history = VersionHistory(clock)
     history.update(endpoints("v2"))
     clock.now = HISTORY_SECONDS - 1.0
-    assert history.only_version("books", True) is None
-    assert history.only_version("books", False) == "v2"
+    assert history.only_version("books") is None
 
 
 def test_where_a_resumed_stream_goes_on():
@@ -126,18 +125,16 @@
     )
     for found, where, service, version, decided in cases:
         assert (
-            decide_resumption(found, where, service, lambda _, __, v=version: v)
-            == decided
+            decide_resumption(found, where, service, lambda _, v=version: v) == decided
         )
 
 
-def test_an_unknown_attempt_must_be_of_the_only_version_for_certain():
-    """A caller that names none is served as before versions were known."""
+def test_a_caller_that_names_no_attempt_gets_no_more_than_one_that_does():
+    """Its stream was joined from two versions after the router had started again."""
     route = make_route(RetryPolicy.RESUME, stream=True)
-    for found, complete in ((NotFound.UNKNOWN, True), (None, False)):
-        asked = []
-        decide_resumption(found, route, "books", lambda _, c: asked.append(c))  # noqa: B023
-        assert asked == [complete]
+    for found in (NotFound.UNKNOWN, None):
+        decided = decide_resumption(found, route, "books", lambda service: None)
+        assert decided == Error(Fault(FaultKind.ORIGIN_UNKNOWN))
 
 
 async def find_all(routers: int, killed: int, loss: float) -> tuple[int, int]:
--- a/packages/fleet/tests/test_versions.py
+++ b/packages/fleet/tests/test_versions.py
@@ -177,6 +177,26 @@
     assert not any(engine.received for engine in versioned_fleet.engines)
 
 
+async def test_after_all_routers_were_killed_no_stream_is_joined_from_two_versions(
+    versioned_fleet,
+):
+    """The version that began them had just left, and another one went on."""
+    for engine in versioned_fleet.engines:
+        engine.pause_after = RESUMED_EVENT
+    begun = [await versioned_fleet.begin(n % ROUTERS, f"q{n}") for n in range(STREAMS)]
+    for endpoint in ("e1", "e3"):
+        versioned_fleet.store.delete(endpoint)
+    await asyncio.gather(*(each.restart() for each in versioned_fleet.routers))
+    await asyncio.sleep(1.0)
+    streams = []
+    for number, event in enumerate(begun):
+        # each second caller does not name the attempt that began its stream
+        named = {} if number % 2 else {"X-Resumes": ""}
+        response = await versioned_fleet.resume(number % ROUTERS, f"q{number}", **named)
+        streams.append(versions_of(event.encode() + response.body))
+    assert mixed(streams) == []
+
+
 async def test_a_stream_whose_version_has_left_ends_incomplete(versioned_fleet):
     """It must not look complete, and its caller may begin anew."""
     for engine in versioned_fleet.engines:
--- a/packages/standins/src/teaselledge_standins/routes.py
+++ b/packages/standins/src/teaselledge_standins/routes.py
@@ -113,7 +113,7 @@
         placed = await self.place(context)
         return placed.ok if placed.is_ok() else None
 
-    def only_version(self, service: str, complete: bool) -> str | None:
+    def only_version(self, service: str) -> str | None:
         """Return the version of all endpoints, None if they differ."""
         versions = {endpoint.version for endpoint in self.endpoints}
         return versions.pop() if len(versions) == 1 else None
