Streams: what may have begun them is kept where it outlives all routers

Cause: which version began a stream, and which versions served lately, was known to the memory of the routers only. After the loss of all of them a service counts as of one version once it has been known for 60 s.

Ruled out: all origins in the store at all times (63 streams a second on a small site, for nothing while one version serves); asking engines, as their runs end with the connection; an assignment of versions by the hash of the stream's id, which binds placement.

Change, migration/: - record.py, recorder.py: a row in the store names the services and versions that may have begun streams in the last 60 s, and the routes whose services changed. The router that reads the endpoints writes it, compares the version it replaces, and withholds engines of a version from the fleet until the record names it, for 2 s at most. Origins of streams that began before are written when a second one becomes possible.

Why it holds: a version can begin a stream only after the record names it, so what the record lacks has begun none; what was written before a kill is read after it. Tests that changed: those of VersionHistory ask the same of its successors (test_origin_record.py); decide_resumption takes what was found.

--- a/packages/fleet/src/teaselledge_fleet/migration/directory.py
+++ b/packages/fleet/src/teaselledge_fleet/migration/directory.py
@@ -1,7 +1,7 @@
 """Keep the origins of streams at two other routers, and ask them."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import xxhash
 from teaselledge_wire.gen.fleet.ttypes import OriginNote, OriginReply, OriginRequest
@@ -42,6 +42,11 @@
         Transport to other routers.
     coordinators : Coordinators
         Names routers of each zone on which all routers agree.
+
+    Attributes
+    ----------
+    on_durable : callable
+        Called with each origin that this router must write to the store.
     """
 
     def __init__(
@@ -58,6 +63,7 @@
         self._table = OriginTable()
         self._replies: PendingReplies[StreamOrigin | NotFound] = PendingReplies()
         self._sequence = 0
+        self.on_durable: Callable[[int, StreamOrigin], None] = lambda key, origin: None
         socket.on(OriginNote, self._handle_note)
         socket.on(OriginRequest, self._handle_request)
         socket.on(OriginReply, self._handle_reply)
@@ -72,6 +78,19 @@
         note = OriginNote(key, origin.service, origin.version)
         self._socket.send_all([each.peer_address for each in keepers], note)
 
+    def write_to_journal(self, key: int, origin: StreamOrigin) -> None:
+        """Have the origin of a stream written to the store.
+
+        One router of each zone writes, as each of its writes holds many origins.
+        """
+        own = self._members.own
+        writer = next(iter(self._coordinators.for_zone(own.zone)), own)
+        if writer.vm == own.vm:
+            self.on_durable(key, origin)
+            return
+        note = OriginNote(key, origin.service, origin.version, durable=True)
+        self._socket.send(writer.peer_address, note)
+
     async def find(self, key: int) -> StreamOrigin | NotFound:
         """Return what began a stream, by the first router that knows it."""
         known = self._table.get(key)
@@ -123,6 +142,8 @@
     def _handle_note(self, note: OriginNote, sender: str) -> None:
         origin = StreamOrigin(note.service_name or "", note.version or "")
         self._table.record(note.stream or 0, origin)
+        if note.durable:
+            self.on_durable(note.stream or 0, origin)
 
     def _handle_request(self, request: OriginRequest, sender: str) -> None:
         origin = self._table.get(request.stream or 0)
--- a/packages/fleet/src/teaselledge_fleet/migration/origins.py
+++ b/packages/fleet/src/teaselledge_fleet/migration/origins.py
@@ -5,13 +5,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, auto
-from typing import Protocol
 
 import xxhash
 
 __all__ = [
     "NotFound",
-    "OriginStore",
     "OriginTable",
     "StreamOrigin",
     "stream_key",
@@ -51,16 +49,6 @@
     """A router that may know it gave no answer."""
 
 
-class OriginStore(Protocol):
-    """Keeps the origins of streams."""
-
-    def record(self, key: int, origin: StreamOrigin) -> None:
-        """Record what began a stream."""
-
-    async def find(self, key: int) -> StreamOrigin | NotFound:
-        """Return what began a stream, or why that is not known."""
-
-
 def stream_key(organisation: str, request_id: str) -> int:
     """Return the key of a stream by the attempt that received its first event."""
     text = f"{organisation}\0{request_id}"
@@ -101,9 +89,15 @@
         known = self._find(key)
         return known[1] if known is not None else None
 
-    async def find(self, key: int) -> StreamOrigin | NotFound:
-        """Return what began a stream."""
-        return self.get(key) or NotFound.UNKNOWN
+    def pop_all(self) -> list[tuple[int, StreamOrigin]]:
+        """Remove all origins, and return those that have not expired."""
+        origins = [
+            (key, known[1])
+            for key, known in self._origins.items()
+            if known[1] is not None and not self._is_expired(known)
+        ]
+        self._origins.clear()
+        return origins
 
     def _find(self, key: int) -> tuple[float, StreamOrigin | None] | None:
         known = self._origins.get(key)
--- a/packages/fleet/src/teaselledge_fleet/process/endpoints.py
+++ b/packages/fleet/src/teaselledge_fleet/process/endpoints.py
@@ -120,15 +120,19 @@
         """
         return EndpointEntry(self.id, revision, None, self.announcement_id.next())
 
+    def _position(self) -> tuple[Revision, AnnouncementId, bool]:
+        return self.revision, self.announcement_id, self.endpoint is not None
+
     def merged_with(self, other: "EndpointEntry") -> "EndpointEntry":
         """Return which of two entries of an endpoint is in force.
 
-        Within an era the later revision wins. Revisions of different eras can't be
-        compared, so the endpoint's later announcement wins; of two entries with the
-        same announcement, the one that is leaving or deleted wins.
+        Within an era the later revision wins; of two entries at one revision, the one
+        whose engine is not withheld. Revisions of different eras can't be compared, so
+        the endpoint's later announcement wins; of two entries with the same
+        announcement, the one that is leaving or deleted wins.
         """
         if self.revision.era == other.revision.era:
-            return max(self, other, key=lambda e: (e.revision, e.announcement_id))
+            return max(self, other, key=EndpointEntry._position)
         older, newer = sorted((self, other), key=lambda e: e.revision)
         older_key = older.announcement_id, not older.accepts_requests
         if older_key > (newer.announcement_id, not newer.accepts_requests):
--- a/packages/fleet/src/teaselledge_fleet/process/metrics.py
+++ b/packages/fleet/src/teaselledge_fleet/process/metrics.py
@@ -112,9 +112,6 @@
     "peer_malformed": Metric(
         "counter", "datagrams", "Datagrams that could not be read."
     ),
-    "unhandled_errors": Metric(
-        "counter", "errors", "Errors of callbacks and tasks that no code handled."
-    ),
     "admissions_asked": Metric(
         "counter", "questions", "Questions to routers that admit to an endpoint."
     ),
@@ -124,6 +121,12 @@
     "grants_revoked": Metric(
         "counter", "grants", "Places that were granted and not confirmed in time."
     ),
+    "origin_rows_written": Metric(
+        "counter", "rows", "Rows of the journal of streams' origins that it wrote."
+    ),
+    "unhandled_errors": Metric(
+        "counter", "errors", "Errors of callbacks and tasks that no code handled."
+    ),
     "slow_readers_disconnected": Metric(
         "counter",
         "connections",
--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -8,7 +8,6 @@
 from teaselledge_fleet.engines.settings import EngineSpeedSettings
 from teaselledge_fleet.engines.speeds import EngineSpeeds
 from teaselledge_fleet.faults import Fault, FaultKind
-from teaselledge_fleet.migration.versions import VersionHistory
 from teaselledge_fleet.process.admitting import (
     AdmissionCheck,
     Admitter,
@@ -114,7 +113,6 @@
         self._distance = Distance(zone, zones)
         self._load = FleetLoad()
         self._shares = OrganisationShares()
-        self._versions = VersionHistory()
         self._prefixes = PrefixLookup()
         self._outliers = OutlierDetector()
         self._wait_limits = QueueWaitLimits()
@@ -255,10 +253,6 @@
         self._in_flight.record_allocation(context, admitted.endpoint)
         return self._placement(context, admitted)
 
-    def only_version(self, service: str) -> str | None:
-        """Return the version of a service if it certainly had just one lately."""
-        return self._versions.only_version(service)
-
     def is_inside_share(self, context: RequestContext) -> bool:
         """Whether the organisation of a request is inside its share."""
         return not self._shares.is_over_share(
@@ -476,7 +470,6 @@
 
     def retain_endpoints(self) -> None:
         """Note the endpoints that exist, and drop the state of all others."""
-        self._versions.update(self._view.endpoints)
         names = {endpoint.id for endpoint in self._view.endpoints}
         self._load.retain_endpoints(names)
         self._outliers.retain_endpoints(names)
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -16,6 +16,7 @@
 from teaselledge_fleet.hedging.policy import HedgePolicy
 from teaselledge_fleet.log import get_log
 from teaselledge_fleet.migration.directory import OriginDirectory
+from teaselledge_fleet.migration.streams import StreamOrigins
 from teaselledge_fleet.process.addresses import RegionCoverage, addresses_for
 from teaselledge_fleet.process.admission import AdmissionController
 from teaselledge_fleet.process.admissionrpc import AdmissionRpc
@@ -179,7 +180,6 @@
         self._share_log = ShareLog(self._placer.shares)
         self._limit_connections()
         has_seeds = bool(settings.seeds) and own.peer_address not in settings.seeds
-        self._store_poller = StorePoller(place.vm, store, self._store_cache, has_seeds)
         self._registration = Registration(store, self._members, self._store_cache)
         self._socket = PeerSocket()
         admission = self._admission = AdmissionController(settings.queueing)
@@ -201,6 +201,10 @@
                 settings.queueing, self._admission_rpc, self._metrics
             )
         self._connect_to_fleet(coordinators)
+        self._origins = self._make_origins(store, coordinators)
+        self._store_poller = StorePoller(
+            place.vm, store, self._store_cache, has_seeds, self._origins.recorder
+        )
         self._gossip = Gossip(
             self._members,
             self._store_cache,
@@ -228,9 +232,28 @@
         self._placer.set_admission_check(rpc.request_admission, rpc.round_trips)
         self._placer.set_restart_report(rpc.report_restart)
         self._placer.set_locator(PrefixLocator(members, peer_socket, coordinators))
-        self._server.set_origins(
-            OriginDirectory(members, self._settings.zones, peer_socket, coordinators)
+
+    def _make_origins(
+        self, store: StateStore, coordinators: Coordinators
+    ) -> StreamOrigins:
+        """Return what knows the origins of streams, in memory and in the store."""
+        vm, zones = self._settings.place.vm, self._settings.zones
+        directory = OriginDirectory(self._members, zones, self._socket, coordinators)
+        view = self._store_cache.view
+        origins = StreamOrigins.from_store(
+            store, view, vm, directory, self._hears_of_changes
         )
+        self._store_cache.on_gap = origins.on_gap
+        self._server.set_origins(origins)
+        return origins
+
+    def _hears_of_changes(self) -> bool:
+        """Whether no other router can know of a change that this one has missed.
+
+        While the store is away for all of them, none of them hears of any.
+        """
+        members = self._members
+        return self._store_cache.is_fresh or len(members.alive) == len(members.peers)
 
     def _make_server(self, dialect: HeaderCodec) -> RequestProxy:
         """Return the request path; it and placing learn when this router is late."""
@@ -272,6 +295,8 @@
         self._tasks.start("admission", self._admission_rpc.run)
         self._tasks.start("store", self._store_poller.run)
         self._tasks.start("registration", self._registration.run)
+        for name, run in self._origins.tasks.items():
+            self._tasks.start(name, run)
         self._tasks.start("event-loop", self._event_loop.run)
         _log.info("router started", vm=self._settings.place.vm)
 
@@ -390,6 +415,7 @@
             self._placer.apply_routing(routing)
             self._warn_of_unknown_regions(routing)
         self._placer.retain_endpoints()
+        self._origins.update(self._store_cache.view.endpoints, routing)
         self._limit_endpoint_connections()
         if self._settings.queueing is not None:
             self._admission.set_unavailable(self._unavailable_endpoints())
@@ -554,6 +580,7 @@
             metrics.set("queue_entries", self._admission.places.waiting_count)
             metrics.set("grants_revoked", self._admission.places.outcomes["revoked"])
         metrics.set("store_calls", self._store_poller.calls)
+        metrics.set("origin_rows_written", self._origins.written_rows)
         metrics.set("endpoint_connections", self._pool.opened)
         metrics.set("admissions_asked", self._admission_rpc.queries_sent)
         metrics.set("admissions_unanswered", self._admission_rpc.queries_timed_out)
--- a/packages/fleet/src/teaselledge_fleet/process/store.py
+++ b/packages/fleet/src/teaselledge_fleet/process/store.py
@@ -1,5 +1,6 @@
 """Interface of the platform's store, as the router uses it."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
@@ -15,6 +16,8 @@
     "StateStore",
     "StoreFault",
     "StoredConfiguration",
+    "StreamRow",
+    "StreamRows",
 ]
 
 
@@ -72,6 +75,41 @@
     complete: bool = False
 
 
+@dataclass(frozen=True)
+class StreamRow:
+    """A row about streams.
+
+    Attributes
+    ----------
+    data : bytes
+        Its content.
+    revision : Revision
+        Revision at which it was written.
+    """
+
+    data: bytes
+    revision: Revision
+
+
+@dataclass(frozen=True)
+class StreamRows:
+    """Rows about streams at one moment, by key.
+
+    Attributes
+    ----------
+    revision : Revision
+        The store's newest revision at that moment.
+    now : float
+        Time of the store's steady clock, in seconds.
+    rows : dict of str to StreamRow
+        The rows.
+    """
+
+    revision: Revision
+    now: float
+    rows: Mapping[str, StreamRow]
+
+
 class StateStore(Protocol):
     """Reads and writes the state that outlives the router processes."""
 
@@ -100,3 +138,18 @@
 
     async def delete_router(self, vm: str) -> Result[None, StoreFault]:
         """Delete the row of a router."""
+
+    async def stream_rows(self, first: str, end: str) -> Result[StreamRows, StoreFault]:
+        """Read the rows about streams from a key up to another, which is excluded."""
+
+    async def put_stream_row(
+        self, key: str, data: bytes, expected: int | None
+    ) -> Result[None, StoreFault]:
+        """Write a row about streams.
+
+        Parameters
+        ----------
+        expected : int or None
+            Number of the revision that the row must have, 0 if it must not exist; the
+            call is refused otherwise. None if that makes no difference.
+        """
--- a/packages/fleet/src/teaselledge_fleet/process/storecache.py
+++ b/packages/fleet/src/teaselledge_fleet/process/storecache.py
@@ -79,6 +79,8 @@
         Highest era of the store known so far; None if no era is known.
     on_change : list of callable
         Called after each change.
+    on_gap : callable
+        Called if changes of the store may have been missed.
     """
 
     def __init__(
@@ -94,6 +96,7 @@
         self.poller = ""
         self.era: int | None = None
         self.on_change: list[Callable[[], None]] = []
+        self.on_gap: Callable[[], None] = lambda: None
         self._as_of: float | None = None
         self._poller_as_of = 0.0
         self._returned_at: float | None = None
@@ -131,6 +134,11 @@
         returned = self._returned_at
         return returned is not None and self._now() - returned < SETTLE_SECONDS
 
+    @property
+    def is_fresh(self) -> bool:
+        """Whether the cached endpoints matched the store a moment ago."""
+        return self._as_of is not None and self._now() - self._as_of <= OUTAGE_SECONDS
+
     @property
     def as_of(self) -> float | None:
         """Loop time at which the cached endpoints last matched the store."""
@@ -175,6 +183,7 @@
         if before is not None:
             _log.warning("store restored", era=era, before=before, source=source)
             self._returned_at = self._now()
+            self.on_gap()
             self._notify()
         return True
 
@@ -339,6 +348,7 @@
         if before is not None and as_of - before > OUTAGE_SECONDS:
             _log.info("store was away", seconds=round(as_of - before, 2))
             self._returned_at = self._now()
+            self.on_gap()
         self._as_of = as_of
 
     def _notify(self) -> None:
--- a/packages/fleet/src/teaselledge_fleet/process/storepoller.py
+++ b/packages/fleet/src/teaselledge_fleet/process/storepoller.py
@@ -4,8 +4,9 @@
 import random
 
 from teaselledge_fleet.log import get_log
+from teaselledge_fleet.migration.recorder import OriginRecorder
 from teaselledge_fleet.process.revision import Revision
-from teaselledge_fleet.process.store import StateStore, StoreFault
+from teaselledge_fleet.process.store import EndpointRows, StateStore, StoreFault
 from teaselledge_fleet.process.storecache import StoreCache
 
 __all__ = ["StorePoller"]
@@ -65,6 +66,8 @@
         Cache to update.
     has_seeds : bool
         Whether this router has other routers as seeds.
+    recorder : OriginRecorder, optional
+        Withholds engines of versions that are not recorded yet.
     """
 
     def __init__(
@@ -73,7 +76,12 @@
         store: StateStore,
         store_cache: StoreCache,
         has_seeds: bool = False,
+        recorder: OriginRecorder | None = None,
     ) -> None:
+        self._recorder = recorder
+        self._last_read: tuple[EndpointRows, float] | None = None
+        if recorder is not None:
+            recorder.on_recorded = self._publish
         self._vm = vm
         self._store = store
         self._store_cache = store_cache
@@ -124,9 +132,19 @@
             self._record_failure(read.error)
             return False
         self._record_success()
-        self._store_cache.update_from_rows(read.ok, started)
+        self._last_read = read.ok, started
+        self._publish()
         return True
 
+    def _publish(self) -> None:
+        """Apply the rows of the last read, without the engines that are withheld."""
+        if self._last_read is None:
+            return
+        rows, read_at = self._last_read
+        if self._recorder is not None:
+            rows = self._recorder.withhold(rows)
+        self._store_cache.update_from_rows(rows, read_at)
+
     async def _read_configuration(self) -> bool:
         self.calls += 1
         started = asyncio.get_running_loop().time()
--- a/packages/fleet/src/teaselledge_fleet/request/context.py
+++ b/packages/fleet/src/teaselledge_fleet/request/context.py
@@ -167,9 +167,6 @@
         The last attempt of the request is in flight.
         """
 
-    def only_version(self, service: str) -> str | None:
-        """Return the version of a service if it certainly had just one lately."""
-
     def is_inside_share(self, context: RequestContext) -> bool:
         """Whether the organisation of a request is inside its share."""
 
--- a/packages/fleet/src/teaselledge_fleet/request/serving.py
+++ b/packages/fleet/src/teaselledge_fleet/request/serving.py
@@ -18,13 +18,9 @@
 )
 from teaselledge_fleet.hedging.policy import HedgePolicy
 from teaselledge_fleet.log import get_log
-from teaselledge_fleet.migration.origins import (
-    OriginStore,
-    OriginTable,
-    StreamOrigin,
-    stream_key,
-)
+from teaselledge_fleet.migration.origins import StreamOrigin, stream_key
 from teaselledge_fleet.migration.resuming import decide_resumption
+from teaselledge_fleet.migration.streams import LocalOrigins, OriginSource
 from teaselledge_fleet.process.budget import RetryBudget
 from teaselledge_fleet.process.endpoints import Endpoint
 from teaselledge_fleet.process.metrics import FleetMetrics
@@ -131,10 +127,10 @@
         self.is_overloaded: Callable[[], bool] = lambda: False
         self.on_admitted: Callable[[str], None] = lambda organisation: None
         self._hedger: RequestHedger | None = None
-        self._origins: OriginStore = OriginTable()
+        self._origins: OriginSource = LocalOrigins()
 
-    def set_origins(self, origins: OriginStore) -> None:
-        """Set where the fleet keeps the origins of streams; this router by default."""
+    def set_origins(self, origins: OriginSource) -> None:
+        """Set what knows the origins of streams; this router alone by default."""
         self._origins = origins
 
     def enable_hedging(self, policy: HedgePolicy) -> RequestHedger:
@@ -327,13 +323,11 @@
         request = context.request
         if request.resume_after is None or not self._resumable:
             return None
-        found = None
+        key = None
         if request.resumed_request:
             key = stream_key(context.organisation_name, request.resumed_request)
-            found = await proxy._origins.find(key)
-        decided = decide_resumption(
-            found, context.route, context.service, proxy._placer.only_version
-        )
+        found = await proxy._origins.find(key, context.route)
+        decided = decide_resumption(found, context.route)
         if decided.is_error():
             return decided.error
         context.service = decided.ok.service
@@ -349,6 +343,7 @@
         self._proxy._origins.record(
             stream_key(context.organisation_name, context.request.id),
             StreamOrigin(context.service, endpoint.version),
+            context.route,
         )
 
     async def _open(self, attempt: Attempt) -> tuple[Attempt, ReadyResponse | Outcome]:
--- a/packages/fleet/tests/test_origins.py
+++ b/packages/fleet/tests/test_origins.py
@@ -16,7 +16,6 @@
     stream_key,
 )
 from teaselledge_fleet.migration.resuming import decide_resumption
-from teaselledge_fleet.migration.versions import HISTORY_SECONDS, VersionHistory
 from teaselledge_fleet.process.endpoints import (
     Endpoint,
     EndpointEntry,
@@ -81,60 +80,19 @@
     assert stream_key("cellar", "q1") != stream_key("archive", "q1")
 
 
-def test_a_version_counts_for_a_while_after_its_last_engine(clock):
-    history = VersionHistory(clock)
-    history.update(endpoints("v1", "v1"))
-    clock.now = 10 * HISTORY_SECONDS
-    assert history.only_version("books") == "v1"
-    history.update(endpoints("v1", "v2"))
-    assert history.only_version("books") is None
-    clock.now += 5.0
-    history.update(endpoints("v2"))
-    clock.now += HISTORY_SECONDS - 1.0
-    assert history.only_version("books") is None
-    clock.now += 2.0
-    assert history.only_version("books") == "v2"
-
-
-def test_a_router_that_has_just_started_does_not_know_earlier_versions(clock):
-    history = VersionHistory(clock)
-    history.update(endpoints("v2"))
-    clock.now = HISTORY_SECONDS - 1.0
-    assert history.only_version("books") is None
-
-
 def test_where_a_resumed_stream_goes_on():
     route = make_route(RetryPolicy.RESUME, stream=True)
     split = make_route(RetryPolicy.RESUME, targets=(Target("books"), Target("more")))
     moved = make_route(RetryPolicy.RESUME, targets=(Target("more"),))
-    unknown = Error(Fault(FaultKind.ORIGIN_UNKNOWN))
     cases = (
-        (OLD, split, "more", None, Ok(OLD)),
-        (OLD, moved, "more", "v1", Error(Fault(FaultKind.ORIGIN_GONE))),
-        (NotFound.UNKNOWN, route, "books", None, unknown),
-        (NotFound.UNKNOWN, route, "books", "v1", Ok(OLD)),
-        (NotFound.UNKNOWN, split, "books", "v1", unknown),
-        (None, route, "books", "v1", Ok(OLD)),
-        (
-            NotFound.UNANSWERED,
-            route,
-            "books",
-            None,
-            Error(Fault(FaultKind.ORIGIN_UNANSWERED, 0.2)),
-        ),
+        (OLD, route, Ok(OLD)),
+        (OLD, split, Ok(OLD)),
+        (OLD, moved, Error(Fault(FaultKind.ORIGIN_GONE))),
+        (NotFound.UNKNOWN, route, Error(Fault(FaultKind.ORIGIN_UNKNOWN))),
+        (NotFound.UNANSWERED, route, Error(Fault(FaultKind.ORIGIN_UNANSWERED, 0.2))),
     )
-    for found, where, service, version, decided in cases:
-        assert (
-            decide_resumption(found, where, service, lambda _, v=version: v) == decided
-        )
-
-
-def test_a_caller_that_names_no_attempt_gets_no_more_than_one_that_does():
-    """Its stream was joined from two versions after the router had started again."""
-    route = make_route(RetryPolicy.RESUME, stream=True)
-    for found in (NotFound.UNKNOWN, None):
-        decided = decide_resumption(found, route, "books", lambda service: None)
-        assert decided == Error(Fault(FaultKind.ORIGIN_UNKNOWN))
+    for found, where, decided in cases:
+        assert decide_resumption(found, where) == decided
 
 
 async def find_all(routers: int, killed: int, loss: float) -> tuple[int, int]:
--- a/packages/fleet/tests/test_versions.py
+++ b/packages/fleet/tests/test_versions.py
@@ -22,6 +22,8 @@
 STREAMS = 12
 VERSIONS = ("v1", "v2", "v1", "v2")
 RESUMED_EVENT = 2
+JOURNAL_SECONDS = 1.0
+"""Time after which the origin of a stream is in the store."""
 
 
 @dataclass(frozen=True)
@@ -177,24 +179,124 @@
     assert not any(engine.received for engine in versioned_fleet.engines)
 
 
+async def begin_all(fleet: VersionedFleet, name: str) -> list[str]:
+    """Begin streams at all routers, and leave them; return their first events."""
+    for engine in fleet.engines:
+        engine.pause_after = RESUMED_EVENT
+    return [await fleet.begin(n % ROUTERS, f"{name}{n}") for n in range(STREAMS)]
+
+
+async def resume_all(
+    fleet: VersionedFleet, name: str, begun: list[str], named: bool = True
+) -> list[list[str]]:
+    """Take streams up at other routers; return the versions of their events."""
+    headers = {} if named else {"X-Resumes": ""}
+    streams = []
+    for number, event in enumerate(begun):
+        router = (number + 1) % ROUTERS
+        response = await fleet.resume(router, f"{name}{number}", **headers)
+        streams.append(versions_of(event.encode() + response.body))
+    return streams
+
+
+async def kill_all(fleet: VersionedFleet) -> None:
+    """Kill all routers at once, and start them again half a second later."""
+    await asyncio.gather(*(each.router.close() for each in fleet.routers))
+    await asyncio.sleep(0.5)
+    await asyncio.gather(*(each.restart() for each in fleet.routers))
+    await asyncio.sleep(1.5)
+
+
+def going_on(streams: list[list[str]]) -> int:
+    """Return how many streams hold more than the event with which they began."""
+    return sum(len(versions) > 1 for versions in streams)
+
+
 async def test_after_all_routers_were_killed_no_stream_is_joined_from_two_versions(
     versioned_fleet,
 ):
     """The version that began them had just left, and another one went on."""
-    for engine in versioned_fleet.engines:
-        engine.pause_after = RESUMED_EVENT
-    begun = [await versioned_fleet.begin(n % ROUTERS, f"q{n}") for n in range(STREAMS)]
+    begun = await begin_all(versioned_fleet, "q")
+    await asyncio.sleep(JOURNAL_SECONDS)
     for endpoint in ("e1", "e3"):
         versioned_fleet.store.delete(endpoint)
-    await asyncio.gather(*(each.restart() for each in versioned_fleet.routers))
-    await asyncio.sleep(1.0)
-    streams = []
-    for number, event in enumerate(begun):
-        # each second caller does not name the attempt that began its stream
-        named = {} if number % 2 else {"X-Resumes": ""}
-        response = await versioned_fleet.resume(number % ROUTERS, f"q{number}", **named)
-        streams.append(versions_of(event.encode() + response.body))
+    await kill_all(versioned_fleet)
+    for named in (False, True):
+        streams = await resume_all(versioned_fleet, "q", begun, named)
+        assert mixed(streams) == []
+    assert going_on(streams) == sum("v2" in event for event in begun)
+
+
+async def test_after_all_routers_were_killed_streams_of_the_only_version_go_on(
+    versioned_fleet,
+):
+    """They were refused for a minute, as no router knew of the time before."""
+    for endpoint in ("e2", "e4"):
+        versioned_fleet.store.delete(endpoint)
+    versioned_fleet.store.stream_rows.clear()
+    await kill_all(versioned_fleet)
+    begun = await begin_all(versioned_fleet, "q")
+    await kill_all(versioned_fleet)
+    for named in (False, True):
+        streams = await resume_all(versioned_fleet, "q", begun, named)
+        assert going_on(streams) == STREAMS
+
+
+async def test_after_all_routers_were_killed_streams_of_two_versions_go_on(
+    versioned_fleet,
+):
+    """No router knew any more which version had begun them, and all were refused."""
+    begun = await begin_all(versioned_fleet, "q")
+    await asyncio.sleep(JOURNAL_SECONDS)
+    await kill_all(versioned_fleet)
+    streams = await resume_all(versioned_fleet, "q", begun)
+    assert mixed(streams) == []
+    assert going_on(streams) == STREAMS
+
+
+async def test_streams_begun_before_a_second_version_came_go_on(versioned_fleet):
+    """They were not in the journal, as only one version could have begun them."""
+    for endpoint in ("e2", "e4"):
+        versioned_fleet.store.delete(endpoint)
+    versioned_fleet.store.stream_rows.clear()
+    await kill_all(versioned_fleet)
+    begun = await begin_all(versioned_fleet, "q")
+    versioned_fleet.store.put(versioned_fleet.endpoint("e5", "v2", 1))
+    await asyncio.sleep(2.0)
+    await kill_all(versioned_fleet)
+    streams = await resume_all(versioned_fleet, "q", begun)
     assert mixed(streams) == []
+    assert going_on(streams) == STREAMS
+
+
+async def test_no_stream_is_taken_up_while_the_record_is_out_of_reach(versioned_fleet):
+    """A router that starts while the store is away must not guess."""
+    begun = await begin_all(versioned_fleet, "q")
+    routers = versioned_fleet.routers
+    await asyncio.gather(*(each.router.close() for each in routers[1:]))
+    versioned_fleet.store.refuses_stream_rows = True
+    await routers[0].restart()
+    await asyncio.sleep(1.0)
+    response = await versioned_fleet.resume(0, "q0")
+    assert (response.status, b"origin-unanswered" in response.body) == (503, True)
+    assert begun
+
+
+async def test_a_record_that_can_not_be_written_does_not_stop_the_service(
+    versioned_fleet,
+):
+    """Engines of a new version wait for the record, but not for long."""
+    versioned_fleet.store.refuses_stream_rows = True
+    for endpoint in ("e1", "e2", "e3", "e4"):
+        versioned_fleet.store.delete(endpoint)
+    versioned_fleet.store.put(versioned_fleet.endpoint("e5", "v3", 0))
+    await asyncio.sleep(1.2)
+    assert not versioned_fleet.routers[0].router._store_cache.view.endpoints
+    await asyncio.sleep(2.8)
+    response = await send_request(
+        versioned_fleet.routers[0].port, "POST", {}, b"prompt"
+    )
+    assert response.status == 200
 
 
 async def test_a_stream_whose_version_has_left_ends_incomplete(versioned_fleet):
--- a/packages/standins/src/teaselledge_standins/routes.py
+++ b/packages/standins/src/teaselledge_standins/routes.py
@@ -113,11 +113,6 @@
         placed = await self.place(context)
         return placed.ok if placed.is_ok() else None
 
-    def only_version(self, service: str) -> str | None:
-        """Return the version of all endpoints, None if they differ."""
-        versions = {endpoint.version for endpoint in self.endpoints}
-        return versions.pop() if len(versions) == 1 else None
-
     def is_inside_share(self, context: RequestContext) -> bool:
         """Return the attribute `inside_share`."""
         return self.inside_share
--- a/packages/standins/src/teaselledge_standins/statestore.py
+++ b/packages/standins/src/teaselledge_standins/statestore.py
@@ -12,6 +12,8 @@
     EndpointRows,
     StoredConfiguration,
     StoreFault,
+    StreamRow,
+    StreamRows,
 )
 from teaselledge_fleet.version.routes import RoutingConfiguration
 
@@ -44,6 +46,7 @@
     data_revision: int
     router_rows: dict[str, bytes]
     drains: dict[str, int]
+    stream_rows: dict[str, tuple[int, bytes]]
 
 
 @dataclass
@@ -62,6 +65,10 @@
         Counter that rises with each restore from a backup.
     drains : dict of str to int
         Revision of the last change of each zone's drain; negative if it was taken back.
+    stream_rows : dict of str to tuple of int and bytes
+        Revision and content of each row about streams.
+    refuses_stream_rows : bool
+        Whether calls about these rows are refused.
     """
 
     delay: float = 0.01
@@ -74,6 +81,8 @@
     router_rows: dict[str, bytes] = field(default_factory=dict)
     era: int = 1
     drains: dict[str, int] = field(default_factory=dict)
+    stream_rows: dict[str, tuple[int, bytes]] = field(default_factory=dict)
+    refuses_stream_rows: bool = False
 
     @property
     def newest(self) -> Revision:
@@ -117,6 +126,7 @@
             self.data_revision,
             dict(self.router_rows),
             dict(self.drains),
+            dict(self.stream_rows),
         )
 
     def restore(self, copy: StoreCopy) -> None:
@@ -127,6 +137,7 @@
         self.data, self.data_revision = copy.data, copy.data_revision
         self.router_rows = dict(copy.router_rows)
         self.drains = dict(copy.drains)
+        self.stream_rows = dict(copy.stream_rows)
 
     def configure(self, data: bytes) -> None:
         """Write the configuration."""
@@ -195,6 +206,37 @@
         self._store.router_rows.pop(vm, None)
         return Ok(None)
 
+    async def stream_rows(self, first: str, end: str) -> Result[StreamRows, StoreFault]:
+        """Read the rows about streams from a key up to another."""
+        if not await self._reach():
+            return Error(StoreFault.UNREACHABLE)
+        store = self._store
+        if store.refuses_stream_rows:
+            return Error(StoreFault.REFUSED)
+        rows = {
+            key: StreamRow(data, Revision(store.era, revision))
+            for key, (revision, data) in store.stream_rows.items()
+            if first <= key < end
+        }
+        now = asyncio.get_running_loop().time()
+        return Ok(StreamRows(store.newest, now, rows))
+
+    async def put_stream_row(
+        self, key: str, data: bytes, expected: int | None
+    ) -> Result[None, StoreFault]:
+        """Write a row about streams, if its revision is the expected one."""
+        if not await self._reach():
+            return Error(StoreFault.UNREACHABLE)
+        store = self._store
+        if store.refuses_stream_rows:
+            return Error(StoreFault.REFUSED)
+        current, _ = store.stream_rows.get(key, (0, b""))
+        if expected not in (None, current):
+            return Error(StoreFault.REFUSED)
+        store.revision += 1
+        store.stream_rows[key] = (store.revision, data)
+        return Ok(None)
+
     async def _reach(self) -> bool:
         store = self._store
         store.calls += 1
--- a/packages/wire/fleet.thrift
+++ b/packages/wire/fleet.thrift
@@ -197,6 +197,8 @@
   1: i64 stream,
   2: string service_name,
   3: string version,
+  // whether the receiver writes it to the store
+  4: optional bool durable,
 }
 
 // Asks a router for what it keeps of a stream.
--- a/packages/wire/src/teaselledge_wire/gen/fleet/ttypes.py
+++ b/packages/wire/src/teaselledge_wire/gen/fleet/ttypes.py
@@ -1887,6 +1887,7 @@
      - stream
      - service_name
      - version
+     - durable
 
     """
 
@@ -1894,13 +1895,15 @@
         'stream',
         'service_name',
         'version',
+        'durable',
     )
 
 
-    def __init__(self, stream=None, service_name=None, version=None,):
+    def __init__(self, stream=None, service_name=None, version=None, durable=None,):
         self.stream = stream
         self.service_name = service_name
         self.version = version
+        self.durable = durable
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1926,6 +1929,11 @@
                     self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.durable = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1948,6 +1956,10 @@
             oprot.writeFieldBegin('version', TType.STRING, 3)
             oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
             oprot.writeFieldEnd()
+        if self.durable is not None:
+            oprot.writeFieldBegin('durable', TType.BOOL, 4)
+            oprot.writeBool(self.durable)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2487,6 +2499,7 @@
     (1, TType.I64, 'stream', None, None, ),  # 1
     (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'version', 'UTF8', None, ),  # 3
+    (4, TType.BOOL, 'durable', None, None, ),  # 4
 )
 all_structs.append(OriginRequest)
 OriginRequest.thrift_spec = (
