Endpoints: a response that closes behind its head is no empty success

Here the close behind a complete head without a length did that: 200 with "Content-Length: 0", or a stream without events that ended in order. A cut inside the head was never taken for an answer.

Cause: a body without a length ends with its connection, so none at all was a complete one. An engine that goes on serving is not found to have ended by the check of such ends.

Change: an empty body has to have a length, or a status or method that says that there is none; otherwise the attempt is broken off, and retried where the route allows it. The case "no length, empty" of the parser's table asked for the fault, as h11 had it, and now asks for the rejection.

--- a/packages/fleet/src/teaselledge_fleet/connection/responseparser.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/responseparser.py
@@ -102,8 +102,17 @@
 
     complete = False
 
+    def __init__(self) -> None:
+        self._empty = True
+
+    @property
+    def empty(self) -> bool:
+        """Whether nothing of the body was received."""
+        return self._empty
+
     def read(self, data: bytes, start: int) -> tuple[bytes, int]:
         """Return all bytes."""
+        self._empty = False
         return data[start:], len(data)
 
 
@@ -202,12 +211,20 @@
             part, self._start = body.read(self._data, self._start)
             if part:
                 return part
-        closed_at_end = self._closed and isinstance(body, _UnlimitedBody)
-        if not body.complete and not closed_at_end:
+        if not body.complete and not self._closed_at_end(body):
             return ResponseEvent.NEED_DATA
         self._complete = True
         return ResponseEvent.END
 
+    def _closed_at_end(self, body: _Body) -> bool:
+        """Whether the close of the connection was the end of the body."""
+        if not self._closed or not isinstance(body, _UnlimitedBody):
+            return False
+        if body.empty:
+            # an empty body has a length; the endpoint has stopped behind the head
+            raise InvalidResponseError("connection closed before the body")
+        return True
+
     def _read_head(self) -> ParsedHead | ResponseEvent:
         while True:
             head = self._extract_head()
--- a/packages/fleet/tests/test_responseparser.py
+++ b/packages/fleet/tests/test_responseparser.py
@@ -93,7 +93,7 @@
     ("two responses", (LENGTH_4 + b"fine") * 2, False, complete_once(b"fine")),
     ("no length", OK + b"\r\nfine", CLOSE, complete_once(b"fine")),
     ("no length, open", OK + b"\r\nfine", False, Parsed(PARTIAL, 200, b"fine")),
-    ("no length, empty", OK + b"\r\n", CLOSE, complete_once()),
+    ("no length, empty", OK + b"\r\n", CLOSE, Parsed(INVALID, 200)),
     ("204", b"HTTP/1.1 204 X\r\n\r\n", False, complete(b"", 204)),
     ("204, body", b"HTTP/1.1 204 X\r\n\r\nx", False, complete_once(b"", 204)),
     ("304", LENGTH_4.replace(b"200", b"304"), False, complete(b"", 304)),
@@ -137,7 +137,8 @@
     ("closed in the head", LENGTH_4[:-2], CLOSE, REJECTED),
     ("head too large", OK + b"A: " + b"x" * (MAX_HEAD_BYTES + 1), False, REJECTED),
 )
-"""`h11`, which parsed responses before, gave the same in these cases."""
+"""`h11`, which parsed responses before, gave the same in these cases, but for an empty
+body without a length."""
 
 REJECTED_HEADS = (
     b"\x16\x03\x01\r\n\r\n",
