Router: a response of unknown length that is reset or empty is not whole

Cause: tornado reads such a body until the connection closes, and takes a reset for a close.

Change: such a response is complete only if it has a body and its connection closed in order.

--- a/packages/router/src/teaselledge/connection/endpoint.py
+++ b/packages/router/src/teaselledge/connection/endpoint.py
@@ -33,6 +33,7 @@
 CHUNK_BYTES = 64 * 1024
 MAX_HEADER_BYTES = 64 * 1024
 MAX_RESPONSE_BYTES = 1 << 40
+BODYLESS_STATUSES = frozenset({204, 304})
 
 
 @dataclass(frozen=True)
@@ -128,13 +129,21 @@
         )
         self.queue: asyncio.Queue[bytes | None] = asyncio.Queue(maxsize=1)
         self.finished = False
+        self.empty = True
+        self.ends_by_close = False
 
     def headers_received(self, start_line: object, headers: HTTPHeaders) -> None:
         assert isinstance(start_line, ResponseStartLine)
         if start_line.code >= 200 and not self.head.done():  # noqa: PLR2004
+            self.ends_by_close = (
+                start_line.code not in BODYLESS_STATUSES
+                and "Content-Length" not in headers
+                and "Transfer-Encoding" not in headers
+            )
             self.head.set_result((start_line, headers))
 
     async def data_received(self, chunk: bytes) -> None:
+        self.empty = False
         await self.queue.put(chunk)
 
     def finish(self) -> None:
@@ -144,8 +153,11 @@
 class _HttpResponse:
     """A response that a task reads from a connection."""
 
-    def __init__(self, stream: IOStream, connection: HTTP1Connection) -> None:
+    def __init__(
+        self, stream: IOStream, connection: HTTP1Connection, method: str
+    ) -> None:
         self._stream = stream
+        self._method = method
         self._delegate = _ResponseDelegate()
         self._send_task: asyncio.Task[None] | None = None
         self._read_task = asyncio.create_task(self._read(connection))
@@ -163,8 +175,22 @@
         if not delegate.head.done():
             delegate.head.set_exception(StreamClosedError())
             return
+        if self._is_cut_off:
+            delegate.finished = False
         await delegate.queue.put(None)
 
+    @property
+    def _is_cut_off(self) -> bool:
+        """Whether the close that ended the response was not its end.
+
+        An empty body has a length; without one the endpoint has stopped behind the
+        head. Tornado takes a reset for the end of a body without a length.
+        """
+        delegate = self._delegate
+        if not delegate.ends_by_close or self._method == "HEAD":
+            return False
+        return delegate.empty or self._stream.error is not None
+
     def send_remaining_body(
         self, connection: HTTP1Connection, upload: Upload | None
     ) -> None:
@@ -259,7 +285,7 @@
         try:
             line = RequestStartLine(request.method, request.path, "HTTP/1.1")
             await connection.write_headers(line, request.headers, request.body)
-            response = _HttpResponse(stream, connection)
+            response = _HttpResponse(stream, connection, request.method)
             response.send_remaining_body(connection, request.upload)
             await response.wait_for_head()
         except (HTTPInputError, StreamClosedError, OSError) as error:
