Streams: few calls to a store that refuses, and the record after a new reader

Callers saw nothing of this: found on reading the commit of the record again.

- A router that began to read the store did not know the configuration with which the record was written.
If that changed at the same moment, no stream of unknown origin went on for 60 s.
Each router now keeps the last four.
- The hash of all routes was calculated with each read of the store.

--- a/packages/fleet/src/teaselledge_fleet/migration/journal.py
+++ b/packages/fleet/src/teaselledge_fleet/migration/journal.py
@@ -12,6 +12,7 @@
 
 from teaselledge_fleet.log import get_log
 from teaselledge_fleet.migration.origins import (
+    MAX_ORIGINS,
     RETENTION_SECONDS,
     OriginTable,
     StreamOrigin,
@@ -30,6 +31,9 @@
 MAX_ORIGINS_PER_ROW = 2000
 """A row of the store holds 65,536 bytes; each origin takes 19."""
 
+RETRY_SECONDS = 1.0
+"""Additional time after a write that failed, as calls to the store are limited."""
+
 MIN_READ_SECONDS = 0.25
 """Minimum time between two reads of the journal."""
 
@@ -100,6 +104,8 @@
     def add(self, key: int, origin: StreamOrigin) -> None:
         """Write the origin of a stream with the next row."""
         self._pending[key] = origin
+        if len(self._pending) > MAX_ORIGINS:
+            del self._pending[next(iter(self._pending))]
         self._filled.set()
 
     async def run(self) -> None:
@@ -107,7 +113,8 @@
         while True:
             await self._filled.wait()
             await asyncio.sleep(ROW_SECONDS)
-            await self._write_row()
+            if not await self._write_row():
+                await asyncio.sleep(RETRY_SECONDS)
 
     async def find(self, key: int) -> tuple[bool, StreamOrigin | None]:
         """Return whether the journal could be read, and what began a stream.
@@ -126,7 +133,7 @@
                 self._read_succeeded = await self._read()
         return self._read_succeeded, self._found.get(key)
 
-    async def _write_row(self) -> None:
+    async def _write_row(self) -> bool:
         items = list(self._pending.items())[:MAX_ORIGINS_PER_ROW]
         number = int(self._wall_clock() / ROW_SECONDS) % ROW_COUNT
         written = await self._store.put_stream_row(
@@ -134,12 +141,13 @@
         )
         if written.is_error():
             # in the next row
-            return
+            return False
         self.written_rows += 1
         for key, _ in items:
-            del self._pending[key]
+            self._pending.pop(key, None)
         if not self._pending:
             self._filled.clear()
+        return True
 
     async def _read(self) -> bool:
         read = await self._store.stream_rows(KEY_PREFIX, END_OF_KEYS)
--- a/packages/fleet/src/teaselledge_fleet/migration/record.py
+++ b/packages/fleet/src/teaselledge_fleet/migration/record.py
@@ -78,7 +78,7 @@
     routing : RoutingConfiguration or None
         Configuration in force.
     recorded_routing : RoutingConfiguration or None
-        The one in force when this router last wrote or read the record.
+        The one in force when the record was written; None if that is not known.
     """
 
     era: int
--- a/packages/fleet/src/teaselledge_fleet/migration/recorder.py
+++ b/packages/fleet/src/teaselledge_fleet/migration/recorder.py
@@ -30,6 +30,9 @@
 """Time after which the record is read again, as another router may have written it."""
 
 RETRY_SECONDS = 0.2
+MAX_ROUTINGS = 4
+"""Maximum of configurations that are kept to compare the next one with."""
+
 WITHHOLD_SECONDS = 2.0
 """Longest time for which engines wait for the record. If it can't be written for so
 long, serving goes before taking streams up after the loss of all routers."""
@@ -62,7 +65,9 @@
         self._era = 0
         self._present: frozenset[StreamOrigin] = frozenset()
         self._routing: RoutingConfiguration | None = None
-        self._recorded_routing: RoutingConfiguration | None = None
+        self._targets_digest = 0
+        self._routings: dict[int, RoutingConfiguration] = {}
+        """The last configurations with different services, by digest."""
         self._withheld_since: float | None = None
         self._wake = asyncio.Event()
         self.on_recorded: Callable[[], None] = lambda: None
@@ -92,6 +97,11 @@
     def update_routing(self, routing: RoutingConfiguration) -> None:
         """Record the services of the routes of a new configuration."""
         self._routing = routing
+        self._targets_digest = targets_digest(routing)
+        self._routings.pop(self._targets_digest, None)
+        self._routings[self._targets_digest] = routing
+        if len(self._routings) > MAX_ROUTINGS:
+            del self._routings[next(iter(self._routings))]
         self._wake.set()
 
     async def run(self) -> None:
@@ -120,7 +130,7 @@
             record is None
             or record.era != self._era
             or record.present != self._present
-            or record.targets_digest != targets_digest(self._routing)
+            or record.targets_digest != self._targets_digest
             or self._now() - self._checked_at > CHECK_SECONDS
         )
 
@@ -156,10 +166,8 @@
                 _log.error("record of origins malformed", error=decoded.error)
             # what a record that can't be read named is unknown: nothing is certain
             known = decoded.ok if decoded.is_ok() else OriginRecord(-1)
-        routing = self._routing
-        seen = Observation(
-            read.ok.revision.era, self._present, routing, self._recorded_routing
-        )
+        recorded = self._routings.get(known.targets_digest) if known else None
+        seen = Observation(read.ok.revision.era, self._present, self._routing, recorded)
         record = next_record(known, seen, read.ok.now)
         if record != known:
             revision = found.revision.number if found is not None else 0
@@ -176,7 +184,7 @@
                 complete_since=record.complete_since,
                 changed_routes=len(record.changed_routes),
             )
-        self._record, self._recorded_routing = record, routing
+        self._record = record
         self._checked_at = self._now()
         return True
 
