Streams: the version of an endpoint is verified before a stream goes on there

Cause: a router compares a stream's version with that of its entry, which is up to 0.75 s old, or as old as an outage of the store, and nothing ties an attempt to the start of the engine that the entry describes.

Ruled out: suspecting an endpoint after a lost connection alone, as a router without a connection to it learns nothing; waiting for the next read of all entries, half a second for each stream that goes on.

Change: once the connection is open the router reads that one entry from the store. An engine announces its start before it serves, so that this entry is of the process at the other end. If the store gives no answer within 0.4 s, the stream goes on unless this router has lost a connection to the same process in the last 30 s.

--- a/packages/fleet/src/teaselledge_fleet/migration/streams.py
+++ b/packages/fleet/src/teaselledge_fleet/migration/streams.py
@@ -1,6 +1,9 @@
 """Tell what began each stream: from the fleet, from its history or from the store."""
 
+import asyncio
+from collections import deque
 from collections.abc import Callable, Coroutine, Iterable, Mapping
+from dataclasses import dataclass
 from typing import Any, Protocol
 
 from teaselledge_fleet.migration.directory import OriginDirectory
@@ -9,22 +12,43 @@
 from teaselledge_fleet.migration.origins import NotFound, OriginTable, StreamOrigin
 from teaselledge_fleet.migration.recorder import OriginRecorder
 from teaselledge_fleet.migration.seeding import HistorySeeder
+from teaselledge_fleet.migration.verifying import VersionVerifier
 from teaselledge_fleet.process.endpoints import Endpoint, EndpointView
 from teaselledge_fleet.process.store import StateStore
 from teaselledge_fleet.version.routes import Route, RoutingConfiguration
 
 __all__ = ["LocalOrigins", "OriginSource", "StreamOrigins"]
 
+RECENT_SECONDS = 5.0
+"""Time within which a router hears that an endpoint has changed."""
+
+MAX_RECENT_STREAMS = 1024
+
+
+@dataclass(frozen=True)
+class _RecentStream:
+    """A stream, when it began and at which endpoint."""
+
+    begun_at: float
+    key: int
+    endpoint: str
+
 
 class OriginSource(Protocol):
     """Knows what began the streams."""
 
-    def record(self, key: int, origin: StreamOrigin, route: Route) -> None:
-        """Record what began a stream."""
+    def record(self, key: int, endpoint: Endpoint, route: Route) -> None:
+        """Record which endpoint began a stream."""
 
     async def find(self, key: int | None, route: Route) -> StreamOrigin | NotFound:
         """Return what began a stream of a route; its key is None if it has no name."""
 
+    async def has_version(self, endpoint: Endpoint) -> bool:
+        """Whether an endpoint to which a connection is open has its known version."""
+
+    def on_connection_lost(self, endpoint: Endpoint) -> None:
+        """Record that an endpoint's process may have ended."""
+
 
 class LocalOrigins:
     """Origins of the streams of a router that knows no other one."""
@@ -32,9 +56,9 @@
     def __init__(self) -> None:
         self._table = OriginTable()
 
-    def record(self, key: int, origin: StreamOrigin, route: Route) -> None:
-        """Record what began a stream."""
-        self._table.record(key, origin)
+    def record(self, key: int, endpoint: Endpoint, route: Route) -> None:
+        """Record which endpoint began a stream."""
+        self._table.record(key, StreamOrigin(endpoint.service, endpoint.version))
 
     async def find(self, key: int | None, route: Route) -> StreamOrigin | NotFound:
         """Return what began a stream."""
@@ -42,6 +66,13 @@
             return NotFound.UNKNOWN
         return self._table.get(key) or NotFound.UNKNOWN
 
+    async def has_version(self, endpoint: Endpoint) -> bool:
+        """Return True: its endpoints keep their versions."""
+        return True
+
+    def on_connection_lost(self, endpoint: Endpoint) -> None:
+        """Do nothing."""
+
 
 class StreamOrigins:
     """Origins of all streams, also of those that began before all routers started.
@@ -61,6 +92,8 @@
         Keeps the record of possible origins in the store.
     seeder : HistorySeeder
         Starts the history from that record.
+    verifier : VersionVerifier
+        Verifies the versions of endpoints.
     """
 
     def __init__(
@@ -70,12 +103,16 @@
         journal: OriginJournal,
         recorder: OriginRecorder,
         seeder: HistorySeeder,
+        verifier: VersionVerifier,
     ) -> None:
         self._directory = directory
         self._history = history
         self._journal = journal
         self._recorder = recorder
         self._seeder = seeder
+        self._verifier = verifier
+        self._view_versions: dict[str, StreamOrigin] = {}
+        self._recent: deque[_RecentStream] = deque(maxlen=MAX_RECENT_STREAMS)
         directory.on_durable = journal.add
         self._unwritten = OriginTable()
         """Origins of this router's streams that were certain when they began."""
@@ -98,6 +135,7 @@
             OriginJournal(store, vm),
             OriginRecorder(store, view),
             HistorySeeder(store, history),
+            VersionVerifier(store),
         )
 
     @property
@@ -127,6 +165,8 @@
         self, endpoints: Iterable[Endpoint], routing: RoutingConfiguration | None
     ) -> None:
         """Apply the endpoints that exist and the configuration in force."""
+        endpoints = list(endpoints)
+        self._cancel_replaced(endpoints)
         changed = self._history.update(endpoints)
         if routing is not None and routing is not self._history.routing:
             self._recorder.update_routing(routing)
@@ -136,14 +176,48 @@
         for key, origin in self._unwritten.pop_all():
             self._journal.add(key, origin)
 
-    def record(self, key: int, origin: StreamOrigin, route: Route) -> None:
-        """Record what began a stream."""
+    def record(self, key: int, endpoint: Endpoint, route: Route) -> None:
+        """Record which endpoint began a stream."""
+        origin = StreamOrigin(endpoint.service, endpoint.version)
+        self._recent.append(_RecentStream(_now(), key, endpoint.id))
         self._directory.record(key, origin)
         if self._history.only_origin(route) is None:
             self._directory.write_to_journal(key, origin)
         else:
             self._unwritten.record(key, origin)
 
+    async def has_version(self, endpoint: Endpoint) -> bool:
+        """Whether an endpoint to which a connection is open has its known version."""
+        return await self._verifier.has_version(endpoint)
+
+    def on_connection_lost(self, endpoint: Endpoint) -> None:
+        """Record that an endpoint's process may have ended."""
+        self._verifier.on_connection_lost(endpoint)
+
+    def _cancel_replaced(self, endpoints: Iterable[Endpoint]) -> None:
+        """Cancel the origins of streams of endpoints that have changed in place.
+
+        Those that began a moment before this router has heard of the change may be of
+        either version.
+        """
+        versions = {
+            each.id: StreamOrigin(each.service, each.version) for each in endpoints
+        }
+        known, self._view_versions = self._view_versions, versions
+        replaced = {
+            name: origin
+            for name, origin in versions.items()
+            if known.get(name, origin) != origin
+        }
+        if not replaced:
+            return
+        oldest = _now() - RECENT_SECONDS
+        for stream in self._recent:
+            other = replaced.get(stream.endpoint)
+            if other is not None and stream.begun_at >= oldest:
+                self._directory.record(stream.key, other)
+                self._directory.write_to_journal(stream.key, other)
+
     async def find(self, key: int | None, route: Route) -> StreamOrigin | NotFound:
         """Return what began a stream of a route; its key is None if it has no name."""
         found: StreamOrigin | NotFound = NotFound.UNKNOWN
@@ -162,3 +236,7 @@
         if origin is not None:
             return origin
         return found if complete else NotFound.UNANSWERED
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/packages/fleet/src/teaselledge_fleet/process/store.py
+++ b/packages/fleet/src/teaselledge_fleet/process/store.py
@@ -8,7 +8,7 @@
 from expression import Result
 
 from teaselledge_fleet.process.drains import ZoneDrain
-from teaselledge_fleet.process.endpoints import EndpointEntry
+from teaselledge_fleet.process.endpoints import Endpoint, EndpointEntry
 from teaselledge_fleet.process.revision import Revision
 
 __all__ = [
@@ -116,6 +116,9 @@
     async def endpoints(self) -> Result[EndpointRows, StoreFault]:
         """Read the entries of all endpoints."""
 
+    async def endpoint(self, name: str) -> Result[Endpoint | None, StoreFault]:
+        """Read the entry of one endpoint; None if it has none, or an invalid one."""
+
     async def configuration(
         self, after: Revision | None, wait: float
     ) -> Result[StoredConfiguration, StoreFault]:
--- a/packages/fleet/src/teaselledge_fleet/request/attempt.py
+++ b/packages/fleet/src/teaselledge_fleet/request/attempt.py
@@ -16,6 +16,7 @@
 from teaselledge_fleet.connection.responselimits import MAX_STREAM_BYTES
 from teaselledge_fleet.faults import Fault
 from teaselledge_fleet.log import get_log
+from teaselledge_fleet.migration.streams import OriginSource
 from teaselledge_fleet.process.endpoints import Endpoint
 from teaselledge_fleet.process.metrics import FleetMetrics
 from teaselledge_fleet.quarantine.content import content_hash, segment_hashes
@@ -62,6 +63,8 @@
         Counts attempts.
     quarantine : Quarantine
         Told of connections that endpoints closed.
+    origins : OriginSource
+        Verifies the versions of endpoints.
     """
 
     codec: HeaderCodec
@@ -69,6 +72,7 @@
     placer: Placer
     metrics: FleetMetrics
     quarantine: Quarantine
+    origins: OriginSource
 
 
 class AttemptOwner(Protocol):
@@ -201,7 +205,10 @@
         at_most_once = context.route.retry_policy is not RetryPolicy.ANY
         acquired = await resources.pool.acquire(endpoint.address, at_most_once)
         if acquired.is_error():
+            resources.origins.on_connection_lost(endpoint)
             return Outcome.UNSENT
+        if not await self._has_version():
+            return Outcome.WITHDRAWN
         if owner.writer.disconnected:
             return Outcome.ABANDONED
         self.rejection = owner.send_fault()
@@ -270,6 +277,12 @@
         splitter = EventSplitter() if self._splitter is not None else None
         return Attempt(self._resources, self._owner, placement, splitter)
 
+    async def _has_version(self) -> bool:
+        """Whether the endpoint has the version that the stream needs, if it does."""
+        if self.context.engine_version is None:
+            return True
+        return await self._resources.origins.has_version(self.endpoint)
+
     def _end_exchange(self, outcome: Outcome) -> bool:
         """End the exchange; return False if the attempt had ended before."""
         if self._ended:
@@ -324,6 +337,7 @@
 
     def _on_send_failure(self, failure: SendFailure) -> Outcome:
         if failure.fault is SendFault.CLOSED:
+            self._resources.origins.on_connection_lost(self.endpoint)
             self._resources.quarantine.on_cut_off(self.context, self.endpoint)
         _log.info(
             "attempt lost",
@@ -416,6 +430,7 @@
             raise error
 
     def _on_incomplete(self, error: IncompleteResponseError) -> None:
+        self._resources.origins.on_connection_lost(self.endpoint)
         self._resources.quarantine.on_cut_off(self.context, self.endpoint)
         self._log_incomplete(error)
 
--- a/packages/fleet/src/teaselledge_fleet/request/serving.py
+++ b/packages/fleet/src/teaselledge_fleet/request/serving.py
@@ -18,7 +18,7 @@
 )
 from teaselledge_fleet.hedging.policy import HedgePolicy
 from teaselledge_fleet.log import get_log
-from teaselledge_fleet.migration.origins import StreamOrigin, stream_key
+from teaselledge_fleet.migration.origins import stream_key
 from teaselledge_fleet.migration.resuming import decide_resumption
 from teaselledge_fleet.migration.streams import LocalOrigins, OriginSource
 from teaselledge_fleet.process.budget import RetryBudget
@@ -273,6 +273,7 @@
             proxy._placer,
             proxy._metrics,
             proxy._quarantine,
+            proxy._origins,
         )
 
     async def run(self) -> None:
@@ -342,7 +343,7 @@
         context.engine_version = endpoint.version
         self._proxy._origins.record(
             stream_key(context.organisation_name, context.request.id),
-            StreamOrigin(context.service, endpoint.version),
+            endpoint,
             context.route,
         )
 
--- a/packages/fleet/tests/test_origin_store.py
+++ b/packages/fleet/tests/test_origin_store.py
@@ -14,6 +14,7 @@
     OriginRecorder,
 )
 from teaselledge_fleet.migration.seeding import HistorySeeder
+from teaselledge_fleet.migration.verifying import VersionVerifier
 from teaselledge_fleet.process.endpoints import Endpoint, EndpointEntry, EndpointView
 from teaselledge_fleet.process.store import EndpointRows
 from teaselledge_fleet.version.routes import RetryPolicy, Target
@@ -193,3 +194,22 @@
     running.cancel()
     assert store.calls <= 10
     assert len(journal._pending) == MAX_ORIGINS
+
+
+async def test_a_lost_connection_is_taken_for_a_restart_while_the_store_is_away():
+    """Nobody can tell then with which version the engine is back."""
+    store = MemoryStateStore()
+    engine = Endpoint("e1", "books", "a:1", "north", 4, started_ms=5, version="v1")
+    store.put(engine)
+    verifier = VersionVerifier(StoreClient(store, "r1"))
+    assert await verifier.has_version(engine)
+    assert not await verifier.has_version(replace(engine, version="v0"))
+    store.unreachable_vms.add("*")
+    assert await verifier.has_version(engine)
+    verifier.on_connection_lost(engine)
+    assert not await verifier.has_version(engine)
+    assert await verifier.has_version(replace(engine, started_ms=6))
+    store.unreachable_vms.clear()
+    assert await verifier.has_version(engine)
+    store.delete("e1")
+    assert not await verifier.has_version(engine)
--- a/packages/fleet/tests/test_versions.py
+++ b/packages/fleet/tests/test_versions.py
@@ -269,6 +269,41 @@
     assert going_on(streams) == STREAMS
 
 
+def restart_in_place(fleet: VersionedFleet, *numbers: int) -> None:
+    """Restart engines under their ids with the other version, and announce that."""
+    for number in numbers:
+        fleet.engines[number].version = "v2"
+        fleet.store.put(fleet.endpoint(f"e{number + 1}", "v2", number))
+
+
+async def test_an_engine_that_is_back_with_another_version_gets_no_streams_of_before(
+    versioned_fleet,
+):
+    """The router's entry named the old version for up to a second."""
+    begun = await begin_all(versioned_fleet, "q")
+    restart_in_place(versioned_fleet, 0, 2)
+    responses = await asyncio.gather(
+        *(versioned_fleet.resume(n % ROUTERS, f"q{n}") for n in range(STREAMS))
+    )
+    streams = [
+        versions_of(event.encode() + response.body)
+        for event, response in zip(begun, responses, strict=True)
+    ]
+    assert mixed(streams) == []
+    assert going_on(streams) == sum("v2" in event for event in begun)
+
+
+async def test_a_stream_that_begins_as_its_engine_is_replaced_is_of_unknown_origin(
+    versioned_fleet,
+):
+    """Its origin was recorded by an entry that was a moment too old."""
+    restart_in_place(versioned_fleet, 0)
+    begun = await begin_all(versioned_fleet, "q")
+    await asyncio.sleep(1.5)
+    streams = await resume_all(versioned_fleet, "q", begun)
+    assert mixed(streams) == []
+
+
 async def test_no_stream_is_taken_up_while_the_record_is_out_of_reach(versioned_fleet):
     """A router that starts while the store is away must not guess."""
     begun = await begin_all(versioned_fleet, "q")
--- a/packages/standins/src/teaselledge_standins/statestore.py
+++ b/packages/standins/src/teaselledge_standins/statestore.py
@@ -165,6 +165,13 @@
         # A slow store returns the rows that it held when the request was sent.
         return Ok(rows) if await self._reach() else Error(StoreFault.UNREACHABLE)
 
+    async def endpoint(self, name: str) -> Result[Endpoint | None, StoreFault]:
+        """Read the entry of one endpoint."""
+        if not await self._reach():
+            return Error(StoreFault.UNREACHABLE)
+        row = self._store.entries.get(name)
+        return Ok(row.endpoint if row is not None else None)
+
     async def configuration(
         self, after: Revision | None, wait: float
     ) -> Result[StoredConfiguration, StoreFault]:
