Placing: an endpoint whose address another one has does not attract requests

Cause: the engine that has the address now answers 421 at once. That counted neither as a success nor as a failure; an endpoint without load looks best, so that nearly all requests of a router went to one that is gone, until the budget had no retry left for them. On the platform such a row stands for 3.6 s, and for as long as the store is away.

--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -408,6 +408,10 @@
 
     def on_signal(self, endpoint: Endpoint, signal: EndpointSignal) -> None:
         """Record what an endpoint said about itself in a response."""
+        if signal.misdirected:
+            # it responds at once and looks idle, so that all requests would go there
+            self._outliers.record_connect_failure(endpoint.id)
+            return
         self._signals.record(endpoint, signal)
 
     def on_response_started(self, context: RequestContext, endpoint: Endpoint) -> None:
--- a/packages/fleet/src/teaselledge_fleet/request/call.py
+++ b/packages/fleet/src/teaselledge_fleet/request/call.py
@@ -131,10 +131,13 @@
         Whether it is about to stop and wants no new requests.
     pause_seconds : float
         Time for which it wants no requests from this router.
+    misdirected : bool
+        Whether another endpoint responded, which has its address now.
     """
 
     leaving: bool = False
     pause_seconds: float = 0.0
+    misdirected: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/fleet/src/teaselledge_fleet/request/defaultcodec.py
+++ b/packages/fleet/src/teaselledge_fleet/request/defaultcodec.py
@@ -49,6 +49,7 @@
 
 REQUEST_ID_BYTES = 8
 SUCCESS_STATUSES = range(200, 300)
+MISDIRECTED_STATUS = 421
 
 
 class DefaultHeaderCodec:
@@ -113,6 +114,7 @@
             signal=EndpointSignal(
                 leaving=LEAVING in fields,
                 pause_seconds=parse_pause_seconds(status, fields),
+                misdirected=declined and status == MISDIRECTED_STATUS,
             ),
         )
 
--- a/packages/fleet/tests/test_signals.py
+++ b/packages/fleet/tests/test_signals.py
@@ -70,6 +70,22 @@
     assert len(leaving.received) <= 1, len(leaving.received)
 
 
+async def test_an_endpoint_whose_address_another_one_has_does_not_attract_requests():
+    """It declines at once and looks idle: nearly all requests of a router went there.
+
+    Its row may stand for as long as the store is away.
+    """
+    decline = respond(421, X_Not_Run="1")
+    async with (
+        ScriptedEndpoint(decline) as gone,
+        ScriptedEndpoint(respond(delay=SLOW_SECONDS)) as staying,
+        running_router(gone, staying) as router,
+    ):
+        statuses = await send_requests(router)
+    assert statuses == [200] * REQUESTS
+    assert len(gone.received) <= 3, len(gone.received)
+
+
 async def test_no_request_goes_to_an_endpoint_that_asked_for_a_pause():
     """It turned 33 more requests away in the 3 s for which it had asked for none."""
     decline = respond(503, X_Not_Run="1", Retry_After=str(PAUSE_SECONDS))
