--- a/packages/fleet/src/teaselledge_fleet/connection/responselimits.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/responselimits.py
@@ -16,10 +16,12 @@
     "MAX_INCOMPLETE_SECONDS",
     "MAX_INFORMATIONAL_BYTES",
     "MAX_INFORMATIONAL_HEADS",
+    "MAX_SHORT_EVENTS",
     "MAX_SKIPPED_BYTES",
     "MAX_SKIPPED_RESPONSES",
     "MAX_STREAM_BYTES",
     "MAX_TRAILER_BYTES",
+    "MIN_EVENT_BYTES",
 ]
 
 MAX_HEAD_BYTES = 64 * 1024
@@ -53,6 +55,12 @@
 MAX_EVENT_BYTES = 64 * 1024
 """For one event, complete or not."""
 
+MIN_EVENT_BYTES = 8
+MAX_SHORT_EVENTS = 1000
+"""Beyond this number, events must have so many bytes at the mean. Those that engines
+send have 65 bytes and more; a comment that keeps a connection open has 3, and comes
+each few seconds."""
+
 MAX_STREAM_BYTES = 16 * 1024 * 1024
 """For a whole stream: 16,000 events of 1 KB. It is not buffered; the limit ends a
 stream that a faulty endpoint repeats until the deadline."""
--- a/packages/fleet/src/teaselledge_fleet/request/eventreading.py
+++ b/packages/fleet/src/teaselledge_fleet/request/eventreading.py
@@ -54,6 +54,8 @@
                     raise IncompleteResponseError("the last event is incomplete")
                 return b""
             events = splitter.feed(chunk)
+            if splitter.flooded:
+                raise IncompleteResponseError("events without content, one by one")
             self._update_deadline(bool(events))
             if events:
                 return events
--- a/packages/fleet/tests/test_unbounded_responses.py
+++ b/packages/fleet/tests/test_unbounded_responses.py
@@ -9,6 +9,10 @@
 from collections.abc import Callable
 
 from teaselledge_fleet.connection import endpoint as endpoint_module
+from teaselledge_fleet.connection.responselimits import (
+    MAX_SHORT_EVENTS,
+    MIN_EVENT_BYTES,
+)
 from teaselledge_fleet.request import serving
 from teaselledge_fleet.version.routes import RetryPolicy
 from teaselledge_standins.routes import make_route, running_route, send_request
@@ -121,6 +125,25 @@
     await check_cut_off(script, True, 200, event)
 
 
+async def test_endless_events_without_content_are_cut_off():
+    """Each line feed was an event: reading them took all time of a router."""
+    event = b"id: 1\ndata: 1\n\n"
+    for junk in (b"\n", b"\r\n", b":\n\n", b"data:\n\n"):
+        script = endless(head(OWN) + event, junk * (BLOCK // len(junk)), 0.01)
+        async with ScriptedEndpoint(script) as faulty:
+            route = make_route(RetryPolicy.NEVER, stream=True, timeout=60.0)
+            async with running_route(route, faulty.address) as served:
+                async with asyncio.timeout(5):
+                    response = await send_request(served.port, "POST", body=b"order")
+                    await faulty.client_disconnected.wait()
+        if response.status == 502:
+            # nothing was forwarded, as all came in one read
+            continue
+        assert not response.complete
+        assert response.body.startswith(event)
+        assert len(response.body) <= len(event) + MAX_SHORT_EVENTS * MIN_EVENT_BYTES
+
+
 async def test_body_beyond_its_length_is_cut_off():
     """The response is complete, and the caller gets it."""
     script = endless(response_bytes(200, OWN, b"fine"), b"x" * BLOCK)
