Streams: an origin that is in doubt is cancelled in all places

An engine whose new version is withheld for a moment is gone in between, so that the change in place was not seen. A stream whose request was placed before the change and whose first event came after it was recorded with the old version and not compared any more.

Change: each recent stream keeps the origin that was recorded, and is compared with what is known of its endpoint, when it is recorded and after each change.

--- a/packages/fleet/src/teaselledge_fleet/migration/journal.py
+++ b/packages/fleet/src/teaselledge_fleet/migration/journal.py
@@ -37,6 +37,10 @@
 MIN_READ_SECONDS = 0.25
 """Minimum time between two reads of the journal."""
 
+CONTRADICTION = StreamOrigin("", "")
+"""Stands for the origin of a stream that was recorded with two different ones. No
+service has this name, so that the stream goes on nowhere."""
+
 KEY_PREFIX = "origins/"
 END_OF_KEYS = "origins0"
 """The first key after all that begin with the prefix."""
@@ -102,8 +106,12 @@
         self.written_rows = 0
 
     def add(self, key: int, origin: StreamOrigin) -> None:
-        """Write the origin of a stream with the next row."""
-        self._pending[key] = origin
+        """Write the origin of a stream with the next row.
+
+        Two origins that differ cancel each other.
+        """
+        known = self._pending.get(key, origin)
+        self._pending[key] = origin if known == origin else CONTRADICTION
         if len(self._pending) > MAX_ORIGINS:
             del self._pending[next(iter(self._pending))]
         self._filled.set()
--- a/packages/fleet/src/teaselledge_fleet/migration/streams.py
+++ b/packages/fleet/src/teaselledge_fleet/migration/streams.py
@@ -27,11 +27,12 @@
 
 @dataclass(frozen=True)
 class _RecentStream:
-    """A stream, when it began and at which endpoint."""
+    """A stream, when it began and at which endpoint, as that was known."""
 
     begun_at: float
     key: int
     endpoint: str
+    origin: StreamOrigin
 
 
 class OriginSource(Protocol):
@@ -94,6 +95,8 @@
         Starts the history from that record.
     verifier : VersionVerifier
         Verifies the versions of endpoints.
+    view : EndpointView
+        Endpoints that this router knows.
     """
 
     def __init__(
@@ -104,6 +107,7 @@
         recorder: OriginRecorder,
         seeder: HistorySeeder,
         verifier: VersionVerifier,
+        view: EndpointView,
     ) -> None:
         self._directory = directory
         self._history = history
@@ -111,7 +115,7 @@
         self._recorder = recorder
         self._seeder = seeder
         self._verifier = verifier
-        self._view_versions: dict[str, StreamOrigin] = {}
+        self._view = view
         self._recent: deque[_RecentStream] = deque(maxlen=MAX_RECENT_STREAMS)
         directory.on_durable = journal.add
         self._unwritten = OriginTable()
@@ -136,6 +140,7 @@
             OriginRecorder(store, view),
             HistorySeeder(store, history),
             VersionVerifier(store),
+            view,
         )
 
     @property
@@ -179,12 +184,17 @@
     def record(self, key: int, endpoint: Endpoint, route: Route) -> None:
         """Record which endpoint began a stream."""
         origin = StreamOrigin(endpoint.service, endpoint.version)
-        self._recent.append(_RecentStream(_now(), key, endpoint.id))
         self._directory.record(key, origin)
         if self._history.only_origin(route) is None:
             self._directory.write_to_journal(key, origin)
         else:
             self._unwritten.record(key, origin)
+        current = self._view.get(endpoint.id) or endpoint
+        if current.version != endpoint.version:
+            # it has changed since the request was placed there
+            self._cancel(key, StreamOrigin(current.service, current.version))
+            return
+        self._recent.append(_RecentStream(_now(), key, endpoint.id, origin))
 
     async def has_version(self, endpoint: Endpoint) -> bool:
         """Whether an endpoint to which a connection is open has its known version."""
@@ -200,23 +210,22 @@
         Those that began a moment before this router has heard of the change may be of
         either version.
         """
-        versions = {
-            each.id: StreamOrigin(each.service, each.version) for each in endpoints
-        }
-        known, self._view_versions = self._view_versions, versions
-        replaced = {
-            name: origin
-            for name, origin in versions.items()
-            if known.get(name, origin) != origin
-        }
-        if not replaced:
-            return
         oldest = _now() - RECENT_SECONDS
-        for stream in self._recent:
-            other = replaced.get(stream.endpoint)
-            if other is not None and stream.begun_at >= oldest:
-                self._directory.record(stream.key, other)
-                self._directory.write_to_journal(stream.key, other)
+        while self._recent and self._recent[0].begun_at < oldest:
+            self._recent.popleft()
+        if not self._recent:
+            return
+        current = {e.id: StreamOrigin(e.service, e.version) for e in endpoints}
+        for stream in list(self._recent):
+            other = current.get(stream.endpoint, stream.origin)
+            if other != stream.origin:
+                self._cancel(stream.key, other)
+                self._recent.remove(stream)
+
+    def _cancel(self, key: int, other: StreamOrigin) -> None:
+        """Cancel the origin of a stream, as another one is as likely."""
+        self._directory.record(key, other)
+        self._directory.write_to_journal(key, other)
 
     async def find(self, key: int | None, route: Route) -> StreamOrigin | NotFound:
         """Return what began a stream of a route; its key is None if it has no name."""
--- a/packages/fleet/tests/test_origin_store.py
+++ b/packages/fleet/tests/test_origin_store.py
@@ -5,7 +5,12 @@
 from dataclasses import dataclass, replace
 
 from teaselledge_fleet.migration.history import OriginHistory
-from teaselledge_fleet.migration.journal import RETRY_SECONDS, ROW_COUNT, OriginJournal
+from teaselledge_fleet.migration.journal import (
+    CONTRADICTION,
+    RETRY_SECONDS,
+    ROW_COUNT,
+    OriginJournal,
+)
 from teaselledge_fleet.migration.origins import MAX_ORIGINS, StreamOrigin
 from teaselledge_fleet.migration.record import COUNTED_SECONDS, decode_record
 from teaselledge_fleet.migration.recorder import (
@@ -183,6 +188,19 @@
     assert await other.find(1 << 60) == (True, None)
 
 
+async def test_two_origins_of_a_stream_cancel_each_other_in_one_row():
+    """The second one replaced the first, before the row was written."""
+    store = MemoryStateStore()
+    journal = OriginJournal(StoreClient(store, "r1"), "r1")
+    running = asyncio.create_task(journal.run())
+    for origin in (OLD, StreamOrigin("books", "v2")):
+        journal.add(1, origin)
+    await asyncio.sleep(1.0)
+    running.cancel()
+    other = OriginJournal(StoreClient(store, "r2"), "r2")
+    assert await other.find(1) == (True, CONTRADICTION)
+
+
 async def test_a_store_that_refuses_gets_few_calls_of_the_journal():
     """All calls count in the limits of the store, refused ones, too."""
     store = MemoryStateStore(refuses_stream_rows=True)
--- a/packages/fleet/tests/test_versions.py
+++ b/packages/fleet/tests/test_versions.py
@@ -269,11 +269,11 @@
     assert going_on(streams) == STREAMS
 
 
-def restart_in_place(fleet: VersionedFleet, *numbers: int) -> None:
-    """Restart engines under their ids with the other version, and announce that."""
+def restart_in_place(fleet: VersionedFleet, *numbers: int, version: str = "v2") -> None:
+    """Restart engines under their ids with another version, and announce that."""
     for number in numbers:
-        fleet.engines[number].version = "v2"
-        fleet.store.put(fleet.endpoint(f"e{number + 1}", "v2", number))
+        fleet.engines[number].version = version
+        fleet.store.put(fleet.endpoint(f"e{number + 1}", version, number))
 
 
 async def test_an_engine_that_is_back_with_another_version_gets_no_streams_of_before(
@@ -296,12 +296,16 @@
 async def test_a_stream_that_begins_as_its_engine_is_replaced_is_of_unknown_origin(
     versioned_fleet,
 ):
-    """Its origin was recorded by an entry that was a moment too old."""
-    restart_in_place(versioned_fleet, 0)
-    begun = await begin_all(versioned_fleet, "q")
-    await asyncio.sleep(1.5)
-    streams = await resume_all(versioned_fleet, "q", begun)
-    assert mixed(streams) == []
+    """Its origin was recorded by an entry that was a moment too old.
+
+    A version that is new to the fleet is withheld for a moment, too.
+    """
+    for round_number, version in enumerate(("v2", "v3")):
+        restart_in_place(versioned_fleet, 0, version=version)
+        begun = await begin_all(versioned_fleet, f"q{round_number}-")
+        await asyncio.sleep(1.5)
+        streams = await resume_all(versioned_fleet, f"q{round_number}-", begun)
+        assert mixed(streams) == []
 
 
 async def test_no_stream_is_taken_up_while_the_record_is_out_of_reach(versioned_fleet):
