Streams: an endpoint's version is verified before a connection is taken

The router opened the connection, then waited for the store. A connection without a request counts as idle, so that another request took it meanwhile, and the answer of one of them was lost.

Change: the entry is read first. The engine could still start again in the milliseconds between that and the connect.

--- a/packages/fleet/src/teaselledge_fleet/migration/streams.py
+++ b/packages/fleet/src/teaselledge_fleet/migration/streams.py
@@ -45,7 +45,7 @@
         """Return what began a stream of a route; its key is None if it has no name."""
 
     async def has_version(self, endpoint: Endpoint) -> bool:
-        """Whether an endpoint to which a connection is open has its known version."""
+        """Whether an endpoint has its known version, just before a stream is sent."""
 
     def on_connection_lost(self, endpoint: Endpoint) -> None:
         """Record that an endpoint's process may have ended."""
@@ -197,7 +197,7 @@
         self._recent.append(_RecentStream(_now(), key, endpoint.id, origin))
 
     async def has_version(self, endpoint: Endpoint) -> bool:
-        """Whether an endpoint to which a connection is open has its known version."""
+        """Whether an endpoint has its known version, just before a stream is sent."""
         return await self._verifier.has_version(endpoint)
 
     def on_connection_lost(self, endpoint: Endpoint) -> None:
--- a/packages/fleet/src/teaselledge_fleet/migration/verifying.py
+++ b/packages/fleet/src/teaselledge_fleet/migration/verifying.py
@@ -32,8 +32,8 @@
 
     An engine may start again under its id with another version, and the entry that a
     router knows is up to a second old, or as old as an outage of the store. An engine
-    announces its start before it serves, so that an entry which is read once the
-    connection to it is open is that of the same process.
+    announces its start before it serves, so that an entry which is read just before
+    the connection is opened is that of the same process, but for some milliseconds.
 
     Parameters
     ----------
@@ -59,7 +59,7 @@
         self._lost[endpoint.id] = _LostConnection(endpoint.started_ms, self._clock())
 
     async def has_version(self, endpoint: Endpoint) -> bool:
-        """Whether an endpoint to which a connection is open has its entry's version.
+        """Whether an endpoint to which a stream is to be sent has its entry's version.
 
         If the store can't be read, it has unless this router has lost a connection to
         the same process.
--- a/packages/fleet/src/teaselledge_fleet/request/attempt.py
+++ b/packages/fleet/src/teaselledge_fleet/request/attempt.py
@@ -202,13 +202,14 @@
         resources, owner, endpoint = self._resources, self._owner, self.endpoint
         context = owner.context
         context.attempted_endpoints.append(endpoint.id)
+        # before a connection is taken, which another request could take meanwhile
+        if not await self._has_version():
+            return Outcome.WITHDRAWN
         at_most_once = context.route.retry_policy is not RetryPolicy.ANY
         acquired = await resources.pool.acquire(endpoint.address, at_most_once)
         if acquired.is_error():
             resources.origins.on_connection_lost(endpoint)
             return Outcome.UNSENT
-        if not await self._has_version():
-            return Outcome.WITHDRAWN
         if owner.writer.disconnected:
             return Outcome.ABANDONED
         self.rejection = owner.send_fault()
--- a/packages/fleet/tests/test_versions.py
+++ b/packages/fleet/tests/test_versions.py
@@ -269,6 +269,26 @@
     assert going_on(streams) == STREAMS
 
 
+async def test_streams_that_are_taken_up_at_once_do_not_share_a_connection(
+    versioned_fleet,
+):
+    """A connection that waited for the store was taken by another request, too."""
+    begun = await begin_all(versioned_fleet, "q")
+    versioned_fleet.store.delay = 0.1
+
+    async def resume_later(number: int) -> ClientResponse:
+        await asyncio.sleep(0.005 * number)
+        return await versioned_fleet.resume(0, f"q{number}")
+
+    async with asyncio.timeout(5):
+        responses = await asyncio.gather(*map(resume_later, range(STREAMS)))
+    for event, response in zip(begun, responses, strict=True):
+        assert response.complete
+        versions = versions_of(event.encode() + response.body)
+        assert len(versions) == 1 + EVENT_COUNT - RESUMED_EVENT
+        assert len(set(versions)) == 1
+
+
 def restart_in_place(fleet: VersionedFleet, *numbers: int, version: str = "v2") -> None:
     """Restart engines under their ids with another version, and announce that."""
     for number in numbers:
