--- a/packages/fleet/src/teaselledge_fleet/migration/verifying.py
+++ b/packages/fleet/src/teaselledge_fleet/migration/verifying.py
@@ -13,7 +13,7 @@
 _log = get_log("streams")
 
 READ_SECONDS = 0.4
-"""Time to wait for the store; it responds in 4 ms, and ten times slower if it must."""
+"""Time to wait for the store, which responds in 4 ms."""
 
 SUSPICION_SECONDS = 30.0
 """Time for which a lost connection is taken for a restart while the store is away."""
--- a/tools/capacity_page.py
+++ b/tools/capacity_page.py
@@ -170,7 +170,7 @@
 4 histories); p50 0.43 / 0.69 / 0.65 s |
 | rows of the journal of origins, while several versions serve | 400 writes a \
 second for all | not played at size; by its design 4 a second in each of 21 zones, 84 |
-| streams taken up after the loss of all routers, two versions, whose origin is \
+| resumptions after the loss of all routers, two versions, whose origin is \
 known | half of them | 33 of 43 in one day of nine routers (trial; rejoined, seed 11) |
 | histories with a promise broken by a restore, 9 / 40 / 195 routers | 0 of 1,000 | 0 \
 of 100 / 0 of 12 / 0 of 4 |
