Relays: another router accepts a connection before any byte is sent

Orders got no answer at timeout_ms, none half a second later, and none before their callers left.

Cause: the kernel accepts connections and bytes for a process that is stopped, and the relaying router took that for a router that serves. It never knew how long a relayed request may take: a relay ended after 15 s without bytes.

Change: the relaying router offers a connection, and the other one accepts it. Until then nothing has been read from the caller, so that without an answer within 0.15 s it is served here and can't run twice. The time for which the own event loop is late does not count. A router that gave no answer gets no offer until it is heard of again. What was relayed before is ended at its own limit: 504, which promises nothing, or a cut response; the head is read for that only when the shortest limit of all routes has passed. Relay sockets get the same keep-alive probes as those to engines, for a VM without power. Offers of the earlier release are told apart, so that releases can be mixed.

Tests changed: those that spoke the preface by hand, or relayed to a socket that nobody read, now read an acceptance, or give one; what they ask is unchanged.

--- a/packages/fleet/src/teaselledge_fleet/connection/accepting.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/accepting.py
@@ -4,31 +4,33 @@
 import socket
 from collections import Counter
 from collections.abc import Callable, Coroutine, Mapping
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any
 from weakref import WeakKeyDictionary
 
-from tornado.httputil import HTTPHeaders, responses
+from tornado.httputil import HTTPHeaders
 from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
 from tornado.netutil import add_accept_handler, bind_sockets
 
 from teaselledge_fleet.connection.refusing import LoadShedder
 from teaselledge_fleet.connection.relay import (
-    PREFACE_BYTES,
+    RelayEvents,
     RelayPool,
     RelayResult,
-    preface,
-    read_preface,
 )
 from teaselledge_fleet.connection.sendbuffers import SendBuffers
-from teaselledge_fleet.faults import (
-    FAULT_RESPONSES,
-    Fault,
-    FaultKind,
-    fault_body,
-    fault_headers,
-)
+from teaselledge_fleet.faults import Fault, FaultKind, encode_fault_response
 from teaselledge_fleet.log import get_log
+from teaselledge_fleet.relaying.handshake import (
+    ACCEPTANCE,
+    OFFER_BYTES,
+    Offer,
+    encode_offer,
+    read_offer,
+    receive_offer,
+)
+from teaselledge_fleet.relaying.timelimits import TimeLimitSource
 
 __all__ = [
     "DIRECT_ORIGIN",
@@ -40,8 +42,8 @@
 
 _log = get_log("accepting")
 
-PREFACE_SECONDS = 1.0
-"""Timeout for the preface of a relayed connection. The relaying router sends it
+OFFER_SECONDS = 1.0
+"""Timeout for the offer of a relayed connection. The relaying router sends it
 immediately, and callers would not wait longer for a response either."""
 
 REFUSALS_PER_SAMPLE = 8
@@ -127,6 +129,9 @@
         in which the limit of relayed connections counts it.
     on_relay_refused : callable
         Called with that tick for each relayed connection that the target refuses.
+    on_silent : callable
+        Called with the address of a target that does not accept a connection, or gives
+        no answer to a request in time.
     version : callable
         Returns the version of the configuration in force.
     has_capacity : callable
@@ -146,6 +151,7 @@
         self.peers_have_capacity: Callable[[], bool] = lambda: True
         self.on_relayed: Callable[[str], int] = lambda target: 0
         self.on_relay_refused: Callable[[int], None] = lambda tick: None
+        self.on_silent: Callable[[str], None] = lambda target: None
         self.version: Callable[[], int] = lambda: 0
         self.has_capacity: Callable[[], bool] = lambda: True
         self.is_entitled: Callable[[str], bool] = lambda key: False
@@ -187,6 +193,20 @@
         """Number of relayed connections whose caller left before a response."""
         return self._relays.abandoned
 
+    @property
+    def relays_not_accepted(self) -> int:
+        """Number of connections served here as their target did not accept them."""
+        return self._relays.not_accepted
+
+    @property
+    def relays_timed_out(self) -> int:
+        """Number of relayed requests that this router ended at their time limit."""
+        return self._relays.timed_out
+
+    def set_time_limits(self, limits: TimeLimitSource) -> None:
+        """Set what knows the time limits of relayed requests."""
+        self._relays.time_limits = limits
+
     @property
     def active_relays(self) -> int:
         """Number of connections being relayed."""
@@ -277,35 +297,49 @@
         self, connection: socket.socket, address: Any, target: str, tick: int
     ) -> None:
         connection.setblocking(False)
-        preface_line = preface(self.version())
-        if await self._relays.relay(
-            connection, target, preface_line, lambda: self.on_relay_refused(tick)
-        ):
+        events = RelayEvents(
+            on_refused=lambda: self.on_relay_refused(tick),
+            on_silent=lambda: self.on_silent(target),
+        )
+        offer = encode_offer(self.version())
+        if await self._relays.relay(connection, target, offer, events):
             self.relayed += 1
             return
         self._serve(IOStream(connection), address)
 
     def _accept_relayed(self, connection: socket.socket, address: Any) -> None:
-        self._start(self._serve_relayed(IOStream(connection), address))
+        connection.setblocking(False)
+        line = receive_offer(connection)
+        stream = IOStream(connection)
+        if line is None:
+            self._start(self._await_offer(stream, address))
+            return
+        self._serve_offered(stream, address, read_offer(line))
 
-    async def _serve_relayed(self, stream: IOStream, address: Any) -> None:
+    async def _await_offer(self, stream: IOStream, address: Any) -> None:
         try:
-            async with asyncio.timeout(PREFACE_SECONDS):
-                line = await stream.read_until(b"\n", max_bytes=PREFACE_BYTES)
+            async with asyncio.timeout(OFFER_SECONDS):
+                line = await stream.read_until(b"\n", max_bytes=OFFER_BYTES)
         except (TimeoutError, StreamClosedError, UnsatisfiableReadError):
             stream.close()
             return
-        version = read_preface(line)
-        if version is None:
-            _log.warning(
-                "relayed connection without a valid preface", router=address[0]
-            )
+        self._serve_offered(stream, address, read_offer(line))
+
+    def _serve_offered(
+        self, stream: IOStream, address: Any, offer: Offer | None
+    ) -> None:
+        if offer is None:
+            _log.warning("relayed connection without a valid offer", router=address[0])
             stream.close()
             return
+        if offer.awaits_acceptance:
+            # the server of a connection that is already closed notices its end
+            with suppress(StreamClosedError):
+                stream.write(ACCEPTANCE)
         # the relaying router chose this one by heartbeats that are already old
         overloaded = not self.has_capacity()
         self._origins[stream] = ConnectionOrigin(
-            min_version=version, overloaded=overloaded
+            min_version=offer.version, overloaded=overloaded
         )
         self._serve(stream, address)
 
@@ -325,10 +359,5 @@
         fraction = step / (RETRY_AFTER_STEPS - 1)
         seconds = MIN_RETRY_SECONDS + fraction * (MAX_RETRY_SECONDS - MIN_RETRY_SECONDS)
         fault = Fault(FaultKind.ROUTER_BUSY, seconds)
-        body = fault_body(fault)
-        headers = fault_headers(fault, HTTPHeaders({"Connection": "close"}), len(body))
-        status = FAULT_RESPONSES[fault.kind].status
-        lines = [f"HTTP/1.1 {status} {responses[status]}"]
-        lines += [f"{name}: {value}" for name, value in headers.get_all()]
-        encoded.append("\r\n".join([*lines, "", ""]).encode() + body)
+        encoded.append(encode_fault_response(fault, HTTPHeaders()))
     return encoded
--- a/packages/fleet/src/teaselledge_fleet/connection/endpoint.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/endpoint.py
@@ -25,6 +25,7 @@
     ResponseParser,
 )
 from teaselledge_fleet.connection.sendbuffers import Reader, SendBuffers
+from teaselledge_fleet.connection.silentpeers import detect_silent_peer
 from teaselledge_fleet.log import get_log
 from teaselledge_fleet.request.call import CallerRequest, HeaderCodec, ResponseHead
 
@@ -46,17 +47,6 @@
 better choice by then.
 """
 
-TCP_USER_TIMEOUT_MS = 1500
-"""Time without acknowledgement of sent data after which a connection is closed.
-
-A connection can fail without a reset, and a request on it would then wait until its
-deadline. The limit leaves time for a packet to be lost and retransmitted twice.
-"""
-
-KEEPALIVE_PROBE_SECONDS = 1
-MAX_KEEPALIVE_PROBES = 2
-"""Keep-alive probes detect an idle connection that failed without a reset."""
-
 READ_BYTES = 16 * 1024
 """Bytes read from an endpoint at a time.
 
@@ -445,11 +435,7 @@
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_PROBE_SECONDS)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_PROBE_SECONDS)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, MAX_KEEPALIVE_PROBES)
+    detect_silent_peer(sock)
     return sock
 
 
--- a/packages/fleet/src/teaselledge_fleet/connection/relay.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/relay.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import json
+import math
 import socket
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import Enum
 from typing import cast
 
@@ -14,14 +16,41 @@
     SendBufferLimits,
     SendBuffers,
 )
+from teaselledge_fleet.connection.silentpeers import detect_silent_peer
 from teaselledge_fleet.faults import ROUTER_FAULTS
+from teaselledge_fleet.relaying.handshake import ACCEPTANCE
+from teaselledge_fleet.relaying.timelimits import (
+    END_OF_HEAD,
+    NoTimeLimits,
+    TimeLimit,
+    TimeLimitSource,
+)
 
-__all__ = ["PREFACE_BYTES", "RelayPool", "RelayResult", "preface", "read_preface"]
+__all__ = ["RelayEvents", "RelayPool", "RelayResult"]
 
 CONNECT_SECONDS = 0.1
 """Timeout for connecting to a router of the same zone, which takes some milliseconds.
 After it this router serves the connection itself."""
 
+ACCEPT_SECONDS = 0.15
+"""Timeout for the acceptance of a connection. Callers wait a third of a second or more
+for a router to read their request. The time for which this router's own event loop is
+late does not count."""
+
+ACCEPT_STEPS = 5
+"""Waits into which this time is divided, each of which takes at least one iteration."""
+
+LATE_SECONDS = 0.1
+"""Time after a request's limit at which the other router's answer counts as missing. It
+keeps the same limit, and its answer takes a moment to arrive."""
+
+HEAD_CHECK_SECONDS = 0.1
+"""Interval at which a late request is looked at again whose head is not complete, or
+whose response is still being sent."""
+
+MAX_HEAD_BYTES = 1 << 15
+"""Bytes kept of a request until its time limit is known; heads have up to 16 KB."""
+
 MAX_RELAYS = 1000
 """Maximum number of concurrent relays, each with two file descriptors and up to two
 buffers."""
@@ -36,9 +65,6 @@
 """Size of the buffer into which all relays of a router read. Each chunk is forwarded
 before the next one is read, and none is read while the previous one is unsent."""
 
-PREFACE = b"relayed %d\n"
-PREFACE_BYTES = 32
-
 
 class RelayResult(Enum):
     """Beginning of the response to a relayed request.
@@ -66,23 +92,21 @@
         return cls.REFUSED_OTHERWISE
 
 
-def preface(version: int) -> bytes:
-    """Return the line sent to the other router before the caller's bytes.
+@dataclass(frozen=True)
+class RelayEvents:
+    """Callbacks for one relayed connection.
 
-    Parameters
+    Attributes
     ----------
-    version : int
-        Version of the configuration in force at the relaying router. A router with an
-        older one must not serve the request: to the caller it would look as if the
-        relaying router had returned to an old configuration.
+    on_refused : callable
+        Called if the other router has no capacity for the request.
+    on_silent : callable
+        Called if the other router does not accept the connection, or gives no answer
+        to the request in time.
     """
-    return PREFACE % version
 
-
-def read_preface(line: bytes) -> int | None:
-    """Return the version in a preface, None for any other line."""
-    keyword, _, number = line.strip().partition(b" ")
-    return int(number) if keyword == b"relayed" and number.isdigit() else None
+    on_refused: Callable[[], None] = lambda: None
+    on_silent: Callable[[], None] = lambda: None
 
 
 class RelayPool:
@@ -102,17 +126,26 @@
         Number of responses so far, by result.
     abandoned : int
         Number of relays whose caller disconnected before any response.
+    not_accepted : int
+        Number of connections that another router did not accept.
+    timed_out : int
+        Number of requests that were ended here at their time limit.
+    time_limits : TimeLimitSource
+        Knows the time limits of requests; none is limited by default.
     """
 
     def __init__(
         self, idle_seconds: float, send_buffers: SendBuffers | None = None
     ) -> None:
         self._idle_seconds = idle_seconds
-        self._send_buffers = send_buffers or SendBuffers(SendBufferLimits.from_memory())
+        self.send_buffers = send_buffers or SendBuffers(SendBufferLimits.from_memory())
         self._relays: set[_Relay] = set()
-        self._buffer = memoryview(bytearray(BUFFER_BYTES))
+        self.buffer = memoryview(bytearray(BUFFER_BYTES))
         self.results: Counter[RelayResult] = Counter()
         self.abandoned = 0
+        self.not_accepted = 0
+        self.timed_out = 0
+        self.time_limits: TimeLimitSource = NoTimeLimits()
 
     @property
     def running(self) -> int:
@@ -128,8 +161,8 @@
         self,
         connection: socket.socket,
         address: str,
-        preface_line: bytes,
-        on_refused: Callable[[], None] = lambda: None,
+        offer: bytes,
+        events: RelayEvents | None = None,
     ) -> bool:
         """Connect to a router, and forward the bytes of either side to the other.
 
@@ -139,48 +172,46 @@
             A caller's connection from which nothing has been read.
         address : str
             Address at which the other router accepts relayed connections.
-        preface_line : bytes
-            Sent before the caller's bytes.
-        on_refused : callable
-            Called if the other router has no capacity for the request.
+        offer : bytes
+            Line that offers the connection to the other router.
+        events : RelayEvents, optional
+            Callbacks for this connection.
 
         Returns
         -------
         bool
-            False if the other router can't be reached; nothing has been read from the
-            connection then.
+            False if the other router can't be reached or does not accept; nothing has
+            been read from the connection then.
         """
         loop = asyncio.get_running_loop()
-
-        def record_result(result: RelayResult) -> None:
-            self.results[result] += 1
-            if result is RelayResult.REFUSED_BY_ROUTER:
-                on_refused()
-
-        relay = _Relay(
-            self._relays,
-            self._buffer,
-            self._send_buffers,
-            record_result,
-            self._record_abandoned,
-        )
-        try:
-            router_socket = await _connect(address, preface_line)
-            await loop.create_connection(lambda: relay.router, sock=router_socket)
-        except (OSError, TimeoutError):
+        events = events or RelayEvents()
+        relay = _Relay(self, events)
+        if not await relay.offer(address, offer):
+            relay.abort()
+            self.not_accepted += 1
+            events.on_silent()
             return False
         try:
             await loop.connect_accepted_socket(lambda: relay.caller, connection)
         except OSError:
             # the caller has disconnected meanwhile
-            self._record_abandoned()
+            self.record_abandoned()
             relay.abort()
             connection.close()
             return True
         relay.start(self._idle_seconds)
         return True
 
-    def _record_abandoned(self) -> None:
+    def add(self, relay: "_Relay") -> None:
+        """Count a relay."""
+        self._relays.add(relay)
+
+    def discard(self, relay: "_Relay") -> None:
+        """Stop counting a relay."""
+        self._relays.discard(relay)
+
+    def record_abandoned(self) -> None:
+        """Count a relay whose caller disconnected before any response."""
         self.abandoned += 1
 
     def close(self) -> None:
@@ -189,17 +220,18 @@
             relay.abort()
 
 
-async def _connect(address: str, preface_line: bytes) -> socket.socket:
-    """Connect to a router and send it the preface.
+async def _connect(address: str, offer: bytes) -> socket.socket:
+    """Connect to a router and send it the offer.
 
-    The router waits for the preface for a limited time, so it is sent before anything
+    The router waits for the offer for a limited time, so it is sent before anything
     that takes further iterations of the event loop.
     """
     connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     connection.setblocking(False)
+    detect_silent_peer(connection)
     await connect(connection, address, CONNECT_SECONDS)
     try:
-        connection.send(preface_line)
+        connection.send(offer)
     except OSError:
         connection.close()
         raise
@@ -207,28 +239,37 @@
 
 
 class _Relay:
-    """A caller's connection, and the connection to the router that serves it."""
+    """A caller's connection, and the connection to the router that serves it.
 
-    def __init__(
-        self,
-        relays: "set[_Relay]",
-        buffer: memoryview,
-        send_buffers: SendBuffers,
-        on_response: Callable[[RelayResult], None],
-        on_abandoned: Callable[[], None],
-    ) -> None:
-        self._relays = relays
-        self.buffer = buffer
-        self.send_buffers = send_buffers
+    It carries one request: the other router closes it after the response. If that
+    router stands still, the request is ended here at its time limit.
+    """
+
+    def __init__(self, pool: RelayPool, events: RelayEvents) -> None:
+        self._pool = pool
+        self._events = events
         self._loop = asyncio.get_running_loop()
-        self._on_response = on_response
-        self._on_abandoned = on_abandoned
-        self._responded = False
-        self._idle_timer: asyncio.TimerHandle | None = None
+        self._head: bytes | None = b""
+        """What has arrived of the request, None once its time limit is known."""
+        self._head_at: float | None = None
+        self._limit: TimeLimit | None = None
+        self._responded_at: float | None = None
+        """Loop time at which the response last made progress."""
+        self._timer: asyncio.TimerHandle | None = None
+        self._idle_seconds = 0.0
         self.closed = False
         self._last_active_at = self._loop.time()
-        self.caller = _Side(self)
-        self.router = _Side(self)
+        self.caller = _Side(self, pool)
+        self.router = _RouterSide(self, pool)
+
+    async def offer(self, address: str, line: bytes) -> bool:
+        """Connect to a router; return whether it accepts the offered connection."""
+        try:
+            connection = await _connect(address, line)
+            await self._loop.create_connection(lambda: self.router, sock=connection)
+        except (OSError, TimeoutError):
+            return False
+        return await self.router.wait_accepted()
 
     def opposite(self, side: "_Side") -> "_Side":
         """Return the opposite side."""
@@ -238,26 +279,84 @@
         """Add the relay to the pool, unless a side has already closed."""
         if self.closed:
             return
-        self._relays.add(self)
-        self._close_if_idle(idle_seconds)
+        self._pool.add(self)
+        self._idle_seconds = idle_seconds
+        self._check()
 
-    def _close_if_idle(self, idle_seconds: float) -> None:
-        remaining = self._last_active_at + idle_seconds - self._loop.time()
-        if remaining <= 0:
+    def _check(self) -> None:
+        """End the relay if it is idle or its request is late, else check later."""
+        now = self._loop.time()
+        idle_at, late_at = self._last_active_at + self._idle_seconds, self._late_at(now)
+        if now >= idle_at:
             self.abort()
             return
-        self._idle_timer = self._loop.call_later(
-            remaining, self._close_if_idle, idle_seconds
-        )
+        if now >= late_at:
+            self._end_late()
+            return
+        self._timer = self._loop.call_later(min(idle_at, late_at) - now, self._check)
+
+    def _late_at(self, now: float) -> float:
+        """Return when the request may have to be ended; infinite without a limit.
+
+        Its head is read only if the shortest limit of all routes has passed.
+        """
+        shortest = self._pool.time_limits.shortest
+        if shortest is None:
+            return math.inf
+        if self._head_at is None:
+            return now + shortest
+        if now < self._head_at + shortest:
+            return self._head_at + shortest
+        if self._head is not None:
+            if END_OF_HEAD not in self._head:
+                return now + HEAD_CHECK_SECONDS
+            self._limit = self._pool.time_limits.find(self._head)
+            self._head = None
+        if self._limit is None:
+            return math.inf
+        late_at = self._head_at + self._limit.seconds + LATE_SECONDS
+        if self._responded_at is None:
+            return late_at
+        if self.caller.has_unsent:
+            return max(late_at, now + HEAD_CHECK_SECONDS)
+        return max(late_at, self._responded_at + LATE_SECONDS)
+
+    def _end_late(self) -> None:
+        """End a request whose router gives no answer, or no end of one, in time.
+
+        A response that has begun is cut off, so that it does not look complete.
+        """
+        self._pool.timed_out += 1
+        self._events.on_silent()
+        if self._responded_at is None and self._limit is not None:
+            self.caller.write(self._limit.response)
+            self.router.abort()
+            return
+        self.abort()
 
     def forward(self, side: "_Side", data: bytes) -> None:
         """Forward bytes that were received from a side."""
         self._last_active_at = self._loop.time()
-        if side is self.router and not self._responded:
-            self._responded = True
-            self._on_response(RelayResult.of_response(data))
+        if side is self.router:
+            if self._responded_at is None:
+                self._on_response(RelayResult.of_response(data))
+            self._responded_at = self._last_active_at
+        elif self._head is not None and len(self._head) < MAX_HEAD_BYTES:
+            self._head += data[:MAX_HEAD_BYTES]
+            if self._head_at is None:
+                self._head_at = self._last_active_at
         self.opposite(side).write(data)
 
+    def on_drained(self, side: "_Side") -> None:
+        """Give the router time to send more to a caller that has read everything."""
+        if side is self.caller and self._responded_at is not None:
+            self._responded_at = self._loop.time()
+
+    def _on_response(self, result: RelayResult) -> None:
+        self._pool.results[result] += 1
+        if result is RelayResult.REFUSED_BY_ROUTER:
+            self._events.on_refused()
+
     def on_closed(self, side: "_Side", failed: bool) -> None:
         """Close the other side.
 
@@ -266,12 +365,12 @@
         otherwise the caller's connection is aborted, so that an incomplete response
         does not look complete.
         """
-        if side is self.caller and not self.closed and not self._responded:
-            self._on_abandoned()
+        if side is self.caller and not self.closed and self._responded_at is None:
+            self._pool.record_abandoned()
         self.closed = True
-        self._relays.discard(self)
-        if self._idle_timer is not None:
-            self._idle_timer.cancel()
+        self._pool.discard(self)
+        if self._timer is not None:
+            self._timer.cancel()
         if failed or side is self.caller:
             self.opposite(side).abort()
         else:
@@ -290,10 +389,18 @@
     allocated for each chunk, and its system calls take much of the time of a relay.
     """
 
-    def __init__(self, relay: _Relay) -> None:
+    def __init__(self, relay: _Relay, pool: RelayPool) -> None:
         self._relay = relay
+        self._buffer = pool.buffer
         self._transport: asyncio.Transport | None = None
-        self._unsent = relay.send_buffers.open(Reader.RELAY, "", relay.abort)
+        self._unsent = pool.send_buffers.open(Reader.RELAY, "", relay.abort)
+
+    @property
+    def has_unsent(self) -> bool:
+        """Whether the peer has not taken all bytes yet."""
+        return (
+            self._transport is not None and self._transport.get_write_buffer_size() > 0
+        )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -306,12 +413,12 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next chunk."""
-        return self._relay.buffer
+        return self._buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Forward received bytes to the other side."""
         # a copy, as a transport may keep what it can't send at once
-        self._relay.forward(self, bytes(self._relay.buffer[:nbytes]))
+        self._relay.forward(self, bytes(self._buffer[:nbytes]))
 
     def eof_received(self) -> bool:
         """Let the transport close, as the peer has closed its side."""
@@ -331,6 +438,7 @@
     def resume_writing(self) -> None:
         """Resume reading from the other side."""
         self._unsent.release()
+        self._relay.on_drained(self)
         self._relay.opposite(self).resume()
 
     def write(self, data: bytes) -> None:
@@ -357,3 +465,45 @@
         """Close immediately, discarding buffered bytes."""
         if self._transport is not None:
             self._transport.abort()
+
+
+class _RouterSide(_Side):
+    """The connection to the other router, which first has to accept it."""
+
+    def __init__(self, relay: _Relay, pool: RelayPool) -> None:
+        super().__init__(relay, pool)
+        self._received = b""
+        self._loop = asyncio.get_running_loop()
+        self._accepted: asyncio.Future[bool] = self._loop.create_future()
+
+    async def wait_accepted(self) -> bool:
+        """Return whether the other router accepts within `ACCEPT_SECONDS`."""
+        self._wait_step(ACCEPT_STEPS)
+        return await self._accepted
+
+    def _wait_step(self, steps_left: int) -> None:
+        if self._accepted.done():
+            return
+        if not steps_left:
+            self._accepted.set_result(False)
+            return
+        self._loop.call_later(
+            ACCEPT_SECONDS / ACCEPT_STEPS, self._wait_step, steps_left - 1
+        )
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Read the acceptance; forward what is received after it."""
+        if self._accepted.done():
+            super().buffer_updated(nbytes)
+            return
+        self._received += self._buffer[:nbytes]
+        if self._received == ACCEPTANCE:
+            self._accepted.set_result(True)
+        elif not ACCEPTANCE.startswith(self._received):
+            self._accepted.set_result(False)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Close the other connection as well; one that is not accepted yet never is."""
+        if not self._accepted.done():
+            self._accepted.set_result(False)
+        super().connection_lost(exc)
--- a/packages/fleet/src/teaselledge_fleet/faults.py
+++ b/packages/fleet/src/teaselledge_fleet/faults.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPHeaders, responses
 
 __all__ = [
     "FAULT_RESPONSES",
@@ -12,6 +12,7 @@
     "FaultResponse",
     "Fault",
     "FaultKind",
+    "encode_fault_response",
     "fault_body",
     "fault_headers",
 ]
@@ -34,6 +35,7 @@
     ENDPOINT_DECLINED = "endpoint-declined"
     ENDPOINT_FAILED = "endpoint-failed"
     ENDPOINT_TIMEOUT = "endpoint-timeout"
+    ROUTER_TIMEOUT = "router-timeout"
     QUARANTINED = "quarantined"
     ORIGIN_GONE = "origin-gone"
     ORIGIN_UNANSWERED = "origin-unanswered"
@@ -74,6 +76,9 @@
     FaultKind.ENDPOINT_DECLINED: FaultResponse(503, "The endpoints declined"),
     FaultKind.ENDPOINT_FAILED: FaultResponse(502, "The endpoint failed"),
     FaultKind.ENDPOINT_TIMEOUT: FaultResponse(504, "The endpoint took too long"),
+    FaultKind.ROUTER_TIMEOUT: FaultResponse(
+        504, "The router to which the request was passed on gives no answer"
+    ),
     FaultKind.QUARANTINED: FaultResponse(502, "Endpoints ended running this request"),
     FaultKind.ORIGIN_GONE: FaultResponse(
         502, "No endpoint of the version that began this stream is left"
@@ -126,3 +131,27 @@
     if fault.retry_after is not None:
         result["Retry-After"] = f"{max(0.0, fault.retry_after):.2f}"
     return result
+
+
+def encode_fault_response(
+    fault: Fault, headers: HTTPHeaders, with_body: bool = True
+) -> bytes:
+    """Return the encoded response to a fault, after which the connection closes.
+
+    Parameters
+    ----------
+    fault : Fault
+        The fault.
+    headers : HTTPHeaders
+        Further headers.
+    with_body : bool
+        False for the response to a HEAD request.
+    """
+    body = fault_body(fault)
+    fields = fault_headers(fault, headers, len(body))
+    fields["Connection"] = "close"
+    status = FAULT_RESPONSES[fault.kind].status
+    lines = [f"HTTP/1.1 {status} {responses[status]}"]
+    lines += [f"{name}: {value}" for name, value in fields.get_all()]
+    encoded = "\r\n".join([*lines, "", ""]).encode("latin-1", "replace")
+    return encoded + body if with_body else encoded
--- a/packages/fleet/src/teaselledge_fleet/process/metrics.py
+++ b/packages/fleet/src/teaselledge_fleet/process/metrics.py
@@ -146,6 +146,16 @@
         "Responses to connections that were passed on, by the reason of a refusal.",
         ("refused",),
     ),
+    "relays_not_accepted": Metric(
+        "counter",
+        "connections",
+        "Served here as the router to which they were offered did not accept them.",
+    ),
+    "relays_timed_out": Metric(
+        "counter",
+        "requests",
+        "Relayed requests that this router ended at their time limit.",
+    ),
     "task_restarts": Metric(
         "counter",
         "restarts",
--- a/packages/fleet/src/teaselledge_fleet/process/offloading.py
+++ b/packages/fleet/src/teaselledge_fleet/process/offloading.py
@@ -9,6 +9,7 @@
 from teaselledge_fleet.process.addresses import spare_cores
 from teaselledge_fleet.process.busyness import HIGH_UTILISATION
 from teaselledge_fleet.process.members import Member, Members
+from teaselledge_fleet.relaying.silence import SilentRouters
 
 __all__ = ["UtilisationSource", "ConnectionOffloader"]
 
@@ -33,7 +34,8 @@
 """Time for which the last candidates are retained if no peer appears ready.
 
 An overloaded router reads the messages of others late, so all of them appear silent
-just when it needs them. A candidate that is really gone costs one attempt to connect.
+just when it needs them. A candidate that is really gone costs one offer without an
+answer.
 """
 
 LOG_INTERVAL_SECONDS = 1.0
@@ -58,6 +60,11 @@
     ----------
     members : Members
         The routers.
+
+    Attributes
+    ----------
+    silent : SilentRouters
+        Routers that have given no answer; no connection is offloaded to them.
     """
 
     def __init__(self, members: Members) -> None:
@@ -67,6 +74,7 @@
         self._peers_seen_at = -CANDIDATE_TTL_SECONDS
         self._offloaded: Counter[str] = Counter()
         self._logged_at = 0.0
+        self.silent = SilentRouters(members)
 
     def choose(self, source: UtilisationSource) -> str | None:
         """Return the relay address for a new connection; None to serve it here."""
@@ -75,7 +83,9 @@
         )
         if offload_fraction <= 0.0 or random.random() >= offload_fraction:
             return None
-        candidates = self.candidates
+        candidates = [
+            member for member in self.candidates if not self.silent.contains(member)
+        ]
         if not candidates:
             return None
         weights = [spare_cores(member) for member in candidates]
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -51,6 +51,7 @@
 from teaselledge_fleet.quarantine.probing import PoolProbe
 from teaselledge_fleet.quarantine.quarantine import Quarantine
 from teaselledge_fleet.quarantine.spreading import EndSpreading
+from teaselledge_fleet.relaying.timelimits import RouteTimeLimits
 from teaselledge_fleet.request.call import HeaderCodec
 from teaselledge_fleet.request.serving import RequestProxy
 from teaselledge_fleet.supervision.tasks import (
@@ -174,7 +175,7 @@
         self._spillover = ZoneSpillover()
         self._refusals = RefusedFraction()
         self._offload_limiter = OffloadLimiter()
-        self._connect_acceptor()
+        self._connect_acceptor(dialect)
         self._connection_limit = ConnectionLimit()
         self._connection_log = ConnectionLog()
         self._share_log = ShareLog(self._placer.shares)
@@ -451,8 +452,10 @@
                     version=routing.version,
                 )
 
-    def _connect_acceptor(self) -> None:
+    def _connect_acceptor(self, dialect: HeaderCodec) -> None:
         acceptor = self._front.acceptor
+        acceptor.set_time_limits(RouteTimeLimits(dialect, lambda: self._server.routing))
+        acceptor.on_silent = self._offloader.silent.record
         acceptor.version = lambda: self._store_cache.version
         acceptor.choose_relay_target = self._choose_relay_target
         acceptor.peers_have_capacity = lambda: self._offload_limiter.allowed
@@ -561,6 +564,8 @@
             "relay_responses",
             {(result.value,): n for result, n in acceptor.relay_results.items()},
         )
+        metrics.set("relays_not_accepted", acceptor.relays_not_accepted)
+        metrics.set("relays_timed_out", acceptor.relays_timed_out)
         metrics.replace("organisation_tokens", shares.totals())
         metrics.set("unsent_bytes", self._send_buffers.total)
         metrics.replace(
--- a/packages/fleet/tests/test_relay.py
+++ b/packages/fleet/tests/test_relay.py
@@ -9,22 +9,21 @@
 
 import loguru
 from expression import Error, Result
-from teaselledge_fleet.connection.accepting import PREFACE_SECONDS
+from teaselledge_fleet.connection.accepting import OFFER_SECONDS
 from teaselledge_fleet.connection.relay import (
     BUFFER_BYTES,
     CONNECT_SECONDS,
-    PREFACE_BYTES,
     RelayPool,
     RelayResult,
-    preface,
-    read_preface,
 )
 from teaselledge_fleet.faults import FAULT_RESPONSES, Fault, FaultKind, fault_body
 from teaselledge_fleet.process.endpoints import Endpoint
 from teaselledge_fleet.process.passingrate import RESPONSE_TICKS, OffloadLimiter
+from teaselledge_fleet.relaying.handshake import ACCEPTANCE, OFFER_BYTES, encode_offer
 from teaselledge_fleet.request.context import Placement, RequestContext
 from teaselledge_fleet.version.routes import RetryPolicy
 from teaselledge_standins.fleetrouters import RunningRouter, running_routers
+from teaselledge_standins.relays import relay_accepted
 from teaselledge_standins.routes import HOST, make_route, make_routing, send_request
 from teaselledge_standins.scripted import (
     ScriptedEndpoint,
@@ -131,14 +130,15 @@
     """Otherwise the relaying router would appear to use an old version again."""
     for version, status in ((VERSION, 200), (VERSION + 1, 503)):
         reader, writer = await asyncio.open_connection(*relay_address(pair.neighbour))
-        writer.write(preface(version))
+        writer.write(encode_offer(version))
+        assert await reader.readline() == ACCEPTANCE
         writer.write(f"GET /r/1 HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode())
         line = await reader.readline()
         assert int(line.split()[1]) == status
         writer.close()
 
 
-async def test_connection_without_a_preface_is_closed(pair):
+async def test_connection_without_an_offer_is_closed(pair):
     reader, writer = await asyncio.open_connection(*relay_address(pair.neighbour))
     writer.write(b"GET / HTTP/1.1\r\n\r\n")
     assert await reader.read() == b""
@@ -244,76 +244,71 @@
 
 async def test_relays_whose_caller_left_before_a_response_are_counted():
     """They tell of callers that gave up while a late router relayed them."""
-    async with ScriptedEndpoint(never_respond) as router:
-        pool = RelayPool(10.0)
-        relayed_end, caller_end = socket.socketpair()
-        assert await pool.relay(relayed_end, router.address, preface(1))
-        caller_end.close()
-        while pool.running:
-            await asyncio.sleep(0.01)
-        assert pool.abandoned == 1
+    pool = RelayPool(10.0)
+    relayed_end, caller_end = socket.socketpair()
+    router_end = await relay_accepted(pool, relayed_end)
+    caller_end.close()
+    while pool.running:
+        await asyncio.sleep(0.01)
+    assert pool.abandoned == 1
+    router_end.close()
 
 
-def seconds_until_preface(listening: socket.socket) -> float:
-    """Accept a connection; return the time that its preface takes."""
+def seconds_until_offer(listening: socket.socket) -> float:
+    """Accept a connection; return the time that its offer takes."""
     accepted, _ = listening.accept()
     accepted_at = time.monotonic()
     with accepted:
-        assert accepted.recv(PREFACE_BYTES) == preface(1)
-    return time.monotonic() - accepted_at
+        assert accepted.recv(OFFER_BYTES) == encode_offer(1)
+        seconds = time.monotonic() - accepted_at
+        accepted.send(ACCEPTANCE)
+        # open until the relay ends
+        accepted.recv(1)
+    return seconds
 
 
-async def test_the_preface_is_sent_in_time_though_the_own_event_loop_is_late():
+async def test_the_offer_is_sent_in_time_though_the_own_event_loop_is_late():
     """The neighbour closed the connection, and the caller got no response."""
     with socket.create_server(("127.0.0.1", 0)) as listening:
         host, port = listening.getsockname()
         received = asyncio.create_task(
-            asyncio.to_thread(seconds_until_preface, listening)
+            asyncio.to_thread(seconds_until_offer, listening)
         )
         relayed_end, caller_end = socket.socketpair()
         pool = RelayPool(10.0)
-        async with late_event_loop(0.3 * PREFACE_SECONDS):
-            assert await pool.relay(relayed_end, f"{host}:{port}", preface(1))
-        assert await received < PREFACE_SECONDS
+        async with late_event_loop(0.3 * OFFER_SECONDS):
+            assert await pool.relay(relayed_end, f"{host}:{port}", encode_offer(1))
         pool.close()
+        assert await received < OFFER_SECONDS
         caller_end.close()
 
 
 async def test_relaying_an_event_allocates_no_large_buffer():
     """Allocating one for each event took much of a flooded router's time."""
-    with socket.create_server(("127.0.0.1", 0)) as listening:
-        host, port = listening.getsockname()
-        pool = RelayPool(10.0)
-        relayed_end, caller_end = socket.socketpair()
-        assert await pool.relay(relayed_end, f"{host}:{port}", preface(1))
-        router_end, _ = listening.accept()
-        tracemalloc.start()
-        for _ in range(5):
-            router_end.send(EVENT)
-            await asyncio.sleep(0.01)
-        _, peak = tracemalloc.get_traced_memory()
-        tracemalloc.stop()
-        assert caller_end.recv(BUFFER_BYTES) == 5 * EVENT
-        pool.close()
-        router_end.close()
-        caller_end.close()
+    pool = RelayPool(10.0)
+    relayed_end, caller_end = socket.socketpair()
+    router_end = await relay_accepted(pool, relayed_end)
+    tracemalloc.start()
+    for _ in range(5):
+        router_end.send(EVENT)
+        await asyncio.sleep(0.01)
+    _, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert caller_end.recv(BUFFER_BYTES) == 5 * EVENT
+    pool.close()
+    router_end.close()
+    caller_end.close()
     assert peak < BUFFER_BYTES, peak
 
 
 async def test_idle_relay_is_closed():
     """Both ends lose power, and neither closes its connection."""
-    async with ScriptedEndpoint(never_respond) as router:
-        pool = RelayPool(0.2)
-        router_end, caller_end = socket.socketpair()
-        assert await pool.relay(router_end, router.address, preface(1))
-        assert pool.running == 1
-        await asyncio.sleep(0.5)
-        assert pool.running == 0
-        assert caller_end.recv(1) == b""
-        caller_end.close()
-
-
-def test_preface_contains_the_version():
-    assert read_preface(preface(77)) == 77
-    for other in (b"", b"GET / HTTP/1.1\n", b"relayed x\n", b"relayed -1\n"):
-        assert read_preface(other) is None
+    pool = RelayPool(0.2)
+    relayed_end, caller_end = socket.socketpair()
+    router_end = await relay_accepted(pool, relayed_end)
+    assert pool.running == 1
+    await asyncio.sleep(0.5)
+    assert pool.running == 0
+    assert caller_end.recv(1) == b""
+    router_end.close()
+    caller_end.close()
--- a/packages/fleet/tests/test_slow_readers.py
+++ b/packages/fleet/tests/test_slow_readers.py
@@ -5,7 +5,7 @@
 from contextlib import asynccontextmanager, contextmanager
 
 from teaselledge_fleet.connection import front, responsebuffer
-from teaselledge_fleet.connection.relay import BUFFER_BYTES, RelayPool, preface
+from teaselledge_fleet.connection.relay import BUFFER_BYTES, RelayPool
 from teaselledge_fleet.connection.sendbuffers import (
     EndCause,
     Reader,
@@ -14,6 +14,7 @@
 )
 from teaselledge_fleet.version.routes import RetryPolicy
 from teaselledge_standins.loopback import LoopbackServer
+from teaselledge_standins.relays import relay_accepted
 from teaselledge_standins.routeprocess import (
     KERNEL_SEND_BYTES,
     limit_kernel_buffers,
@@ -294,20 +295,16 @@
 async def flooded_relay(buffers):
     """Relay more to a caller than it reads."""
     loop = asyncio.get_running_loop()
-    with socket.create_server(("127.0.0.1", 0)) as listening:
-        pool = RelayPool(10.0, buffers)
-        relayed_end, caller_end = socket.socketpair()
-        address = "{}:{}".format(*listening.getsockname())
-        assert await pool.relay(relayed_end, address, preface(1))
-        router_end, _ = listening.accept()
-        router_end.setblocking(False)
-        sending = asyncio.create_task(loop.sock_sendall(router_end, b"x" * (64 << 20)))
-        yield pool
-        sending.cancel()
-        await asyncio.gather(sending, return_exceptions=True)
-        pool.close()
-        router_end.close()
-        caller_end.close()
+    pool = RelayPool(10.0, buffers)
+    relayed_end, caller_end = socket.socketpair()
+    router_end = await relay_accepted(pool, relayed_end)
+    sending = asyncio.create_task(loop.sock_sendall(router_end, b"x" * (64 << 20)))
+    yield pool
+    sending.cancel()
+    await asyncio.gather(sending, return_exceptions=True)
+    pool.close()
+    router_end.close()
+    caller_end.close()
 
 
 async def test_relay_holds_one_chunk_for_a_caller_that_does_not_read():
