Streams: a router out of step asks before it takes a stream up

Cause: if no router that keeps the origin answered, the stream went on at the only version that this router had seen (NotFound.UNANSWERED counted as unknown), and what it had seen counted as current for 2.4 s, by a clock that does not count a suspension. An entry that could not be read from the store counted as unchanged, though the router was cut off from all who could have told it.

Change: a resumption that the directory does not know reads the record of possible origins from the store, which names a version before any router uses it. What this router has seen only adds to it. Reads are shared: each request gets one that began after it asked, at most four a second. Without the store, the keepers' answer that they don't know the stream counts, together with a current history; silence does not, nor does anything for callers that name no attempt. The age of the view counts a suspension. An entry that can't be read counts as unchanged only while another router answers.

--- a/packages/fleet/src/teaselledge_fleet/migration/directory.py
+++ b/packages/fleet/src/teaselledge_fleet/migration/directory.py
@@ -1,6 +1,7 @@
 """Keep the origins of streams at two other routers, and ask them."""
 
 import asyncio
+import random
 from collections.abc import Callable, Iterable
 
 import xxhash
@@ -21,6 +22,12 @@
 """Routers of a zone that are asked. Routers disagree for some seconds on whether one of
 the zone is alive, and then on which of them keeps an origin."""
 
+ASKED_FOR_CONTACT = 3
+"""Routers that are asked whether any of them answers."""
+
+NO_STREAM = 0
+"""Key of a question to which any answer will do."""
+
 REPLY_SECONDS = 0.1
 """Time to wait for replies; a round trip between regions takes 40 ms."""
 
@@ -117,6 +124,15 @@
                 task.cancel()
         return result
 
+    async def is_in_contact(self) -> bool:
+        """Return whether another router answers now; True if none is known."""
+        members = self._members.alive or self._members.peers
+        if not members:
+            return True
+        asked = random.sample(members, min(ASKED_FOR_CONTACT, len(members)))
+        replies = await asyncio.gather(*(self._ask(each, NO_STREAM) for each in asked))
+        return any(reply is not NotFound.UNANSWERED for reply in replies)
+
     async def _ask(self, member: Member, key: int) -> StreamOrigin | NotFound:
         self._sequence += 1
         sequence = self._sequence
--- a/packages/fleet/src/teaselledge_fleet/migration/history.py
+++ b/packages/fleet/src/teaselledge_fleet/migration/history.py
@@ -115,14 +115,19 @@
         changed_at = self._changed_at.get(route_key(route))
         if changed_at is not None and now - changed_at <= COUNTED_SECONDS:
             return None
-        service = route.targets[0].service
-        recent = {
-            origin
-            for origin, left_at in self._left_at.items()
-            if origin.service == service and now - left_at <= COUNTED_SECONDS
+        recent = self.seen_origins(route)
+        return next(iter(recent)) if len(recent) == 1 else None
+
+    def seen_origins(self, route: Route) -> frozenset[StreamOrigin]:
+        """Return what this router has seen that may have begun a route's streams."""
+        oldest = self._clock() - COUNTED_SECONDS
+        left = {
+            origin for origin, left_at in self._left_at.items() if left_at >= oldest
         }
-        recent.update(each for each in self._present if each.service == service)
-        return recent.pop() if len(recent) == 1 else None
+        services = {target.service for target in route.targets}
+        return frozenset(
+            each for each in self._present | left if each.service in services
+        )
 
     def _prune(self) -> None:
         oldest = self._clock() - COUNTED_SECONDS
--- a/packages/fleet/src/teaselledge_fleet/migration/journal.py
+++ b/packages/fleet/src/teaselledge_fleet/migration/journal.py
@@ -17,6 +17,7 @@
     OriginTable,
     StreamOrigin,
 )
+from teaselledge_fleet.migration.sharedreads import SharedReads
 from teaselledge_fleet.process.store import StateStore
 
 __all__ = ["OriginJournal", "decode_row", "encode_row"]
@@ -100,9 +101,7 @@
         self._pending: dict[int, StreamOrigin] = {}
         self._filled = asyncio.Event()
         self._found = OriginTable()
-        self._read_started = -MIN_READ_SECONDS
-        self._read_succeeded = False
-        self._reading = asyncio.Lock()
+        self._reads = SharedReads(self._read, MIN_READ_SECONDS)
         self.written_rows = 0
 
     def add(self, key: int, origin: StreamOrigin) -> None:
@@ -132,14 +131,8 @@
         origin = self._found.get(key)
         if origin is not None:
             return True, origin
-        arrived = self._now()
-        async with self._reading:
-            if self._read_started < arrived:
-                next_read = self._read_started + MIN_READ_SECONDS
-                await asyncio.sleep(max(0.0, next_read - self._now()))
-                self._read_started = self._now()
-                self._read_succeeded = await self._read()
-        return self._read_succeeded, self._found.get(key)
+        complete = await self._reads.get()
+        return complete, self._found.get(key)
 
     async def _write_row(self) -> bool:
         items = list(self._pending.items())[:MAX_ORIGINS_PER_ROW]
@@ -165,6 +158,3 @@
             for key, origin in decode_row(row.data).items():
                 self._found.record(key, origin)
         return True
-
-    def _now(self) -> float:
-        return asyncio.get_running_loop().time()
--- a/packages/fleet/src/teaselledge_fleet/migration/streams.py
+++ b/packages/fleet/src/teaselledge_fleet/migration/streams.py
@@ -11,6 +11,7 @@
 from teaselledge_fleet.migration.journal import OriginJournal
 from teaselledge_fleet.migration.origins import NotFound, OriginTable, StreamOrigin
 from teaselledge_fleet.migration.recorder import OriginRecorder
+from teaselledge_fleet.migration.recordreading import RecordReader, possible_origins
 from teaselledge_fleet.migration.seeding import HistorySeeder
 from teaselledge_fleet.migration.verifying import VersionVerifier
 from teaselledge_fleet.process.endpoints import Endpoint, EndpointView
@@ -91,6 +92,8 @@
         Origins in the store.
     recorder : OriginRecorder
         Keeps the record of possible origins in the store.
+    reader : RecordReader
+        Reads that record as it is now.
     seeder : HistorySeeder
         Starts the history from that record.
     verifier : VersionVerifier
@@ -105,6 +108,7 @@
         history: OriginHistory,
         journal: OriginJournal,
         recorder: OriginRecorder,
+        reader: RecordReader,
         seeder: HistorySeeder,
         verifier: VersionVerifier,
         view: EndpointView,
@@ -113,6 +117,7 @@
         self._history = history
         self._journal = journal
         self._recorder = recorder
+        self._reader = reader
         self._seeder = seeder
         self._verifier = verifier
         self._view = view
@@ -138,8 +143,9 @@
             history,
             OriginJournal(store, vm),
             OriginRecorder(store, view),
+            RecordReader(store),
             HistorySeeder(store, history),
-            VersionVerifier(store),
+            VersionVerifier(store, directory.is_in_contact),
             view,
         )
 
@@ -234,11 +240,17 @@
             found = await self._directory.find(key)
         if isinstance(found, StreamOrigin):
             return found
-        only = self._history.only_origin(route)
-        if only is not None:
-            return only
-        if not self._history.known:
+        # this router may be out of step: what it has heard of so far does not count
+        reading = await self._reader.read()
+        if reading is None:
+            return self._find_without_store(key, found, route)
+        possible = possible_origins(reading, route, self._history.routing)
+        if possible is None:
             found = NotFound.UNANSWERED
+        else:
+            possible |= self._history.seen_origins(route)
+            if len(possible) == 1:
+                return next(iter(possible))
         if key is None:
             return found
         complete, origin = await self._journal.find(key)
@@ -246,6 +258,19 @@
             return origin
         return found if complete else NotFound.UNANSWERED
 
+    def _find_without_store(
+        self, key: int | None, found: NotFound, route: Route
+    ) -> StreamOrigin | NotFound:
+        """Return what began a stream if the store can't be read.
+
+        If the routers that would keep its origin answer that they don't, it began
+        before any change that this router may have missed.
+        """
+        only = self._history.only_origin(route)
+        if only is None or key is None or found is not NotFound.UNKNOWN:
+            return NotFound.UNANSWERED
+        return only
+
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/packages/fleet/src/teaselledge_fleet/migration/verifying.py
+++ b/packages/fleet/src/teaselledge_fleet/migration/verifying.py
@@ -1,7 +1,7 @@
 """Verify that an endpoint still runs the software version of its entry."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from teaselledge_fleet.log import get_log
@@ -39,14 +39,21 @@
     ----------
     store : StateStore
         Store that holds the entries.
+    is_in_contact : callable, optional
+        Returns whether another router answers this one. One that is cut off from the
+        store and the others can't hear of a restart.
     clock : callable, optional
         Returns the loop time.
     """
 
     def __init__(
-        self, store: StateStore, clock: Callable[[], float] | None = None
+        self,
+        store: StateStore,
+        is_in_contact: Callable[[], Awaitable[bool]] | None = None,
+        clock: Callable[[], float] | None = None,
     ) -> None:
         self._store = store
+        self._is_in_contact = is_in_contact
         self._clock = clock or (lambda: asyncio.get_running_loop().time())
         self._lost: dict[str, _LostConnection] = {}
 
@@ -61,16 +68,16 @@
     async def has_version(self, endpoint: Endpoint) -> bool:
         """Whether an endpoint to which a stream is to be sent has its entry's version.
 
-        If the store can't be read, it has unless this router has lost a connection to
-        the same process.
+        If the store can't be read, it has unless this router is cut off, or has lost a
+        connection to the same process.
         """
         try:
             async with asyncio.timeout(READ_SECONDS):
                 read = await self._store.endpoint(endpoint.id)
         except TimeoutError:
-            return not self._is_suspected(endpoint)
+            return await self._has_version_unread(endpoint)
         if read.is_error():
-            return not self._is_suspected(endpoint)
+            return await self._has_version_unread(endpoint)
         current = read.ok
         if current is not None and current.version == endpoint.version:
             return True
@@ -82,6 +89,11 @@
         )
         return False
 
+    async def _has_version_unread(self, endpoint: Endpoint) -> bool:
+        if self._is_suspected(endpoint):
+            return False
+        return self._is_in_contact is None or await self._is_in_contact()
+
     def _is_suspected(self, endpoint: Endpoint) -> bool:
         lost = self._lost.get(endpoint.id)
         return (
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -143,7 +143,7 @@
         self._event_loop = EventLoopMonitor(settings.cores)
         self._event_loop.on_tick = self._update_utilisation
         warmup = WarmupTracker(settings.warmup_rate_factor, settings.warmup_rate_extra)
-        self._store_cache = StoreCache(place.vm, decode, warmup)
+        self._store_cache = StoreCache(place.vm, decode, warmup, boot_clock)
         self._send_buffers = SendBuffers(_send_buffer_limits(settings))
         self._pool = ConnectionPool(send_buffers=self._send_buffers)
         self._budget = RetryBudget(
@@ -253,8 +253,10 @@
 
         While the store is away for all of them, none of them hears of any.
         """
-        members = self._members
-        return self._store_cache.is_fresh or len(members.alive) == len(members.peers)
+        if self._store_cache.is_fresh:
+            return True
+        peers = self._members.peers
+        return bool(peers) and len(self._members.alive) == len(peers)
 
     def _make_server(self, dialect: HeaderCodec) -> RequestProxy:
         """Return the request path; it and placing learn when this router is late."""
--- a/packages/fleet/src/teaselledge_fleet/process/storecache.py
+++ b/packages/fleet/src/teaselledge_fleet/process/storecache.py
@@ -61,6 +61,18 @@
     It is filled by this router's own reads of the store and by messages of other
     routers.
 
+    Parameters
+    ----------
+    vm : str
+        Name of this router's VM.
+    decode : callable
+        Decodes a configuration; returns None if it is invalid.
+    warmup : WarmupTracker, optional
+        Endpoints that are warming up.
+    boot_clock : callable, optional
+        Returns seconds of a clock that also advances while the VM is suspended. The
+        event loop's clock by default.
+
     Attributes
     ----------
     view : EndpointView
@@ -84,8 +96,13 @@
     """
 
     def __init__(
-        self, vm: str, decode: Decode, warmup: WarmupTracker | None = None
+        self,
+        vm: str,
+        decode: Decode,
+        warmup: WarmupTracker | None = None,
+        boot_clock: Callable[[], float] | None = None,
     ) -> None:
+        self._boot_clock = boot_clock or self._now
         self._vm = vm
         self._decode = decode
         self.warmup = warmup or WarmupTracker()
@@ -98,6 +115,8 @@
         self.on_change: list[Callable[[], None]] = []
         self.on_gap: Callable[[], None] = lambda: None
         self._as_of: float | None = None
+        self._as_of_boot = -math.inf
+        """The same by the boot clock."""
         self._poller_as_of = 0.0
         self._returned_at: float | None = None
         self._era_changed_at = -math.inf
@@ -137,7 +156,7 @@
     @property
     def is_fresh(self) -> bool:
         """Whether the cached endpoints matched the store a moment ago."""
-        return self._as_of is not None and self._now() - self._as_of <= OUTAGE_SECONDS
+        return self._boot_clock() - self._as_of_boot <= OUTAGE_SECONDS
 
     @property
     def as_of(self) -> float | None:
@@ -350,6 +369,7 @@
             self._returned_at = self._now()
             self.on_gap()
         self._as_of = as_of
+        self._as_of_boot = self._boot_clock() - (self._now() - as_of)
 
     def _notify(self) -> None:
         for listener in self.on_change:
--- a/packages/fleet/tests/test_origin_store.py
+++ b/packages/fleet/tests/test_origin_store.py
@@ -201,6 +201,20 @@
     assert await other.find(1) == (True, CONTRADICTION)
 
 
+async def test_a_journal_that_can_not_be_read_is_never_taken_for_empty():
+    """A reader that was cancelled left the success of the read before it."""
+    store = MemoryStateStore()
+    journal = OriginJournal(StoreClient(store, "r1"), "r1")
+    assert await journal.find(1) == (True, None)
+    store.refuses_stream_rows = True
+    first = asyncio.create_task(journal.find(2))
+    await asyncio.sleep(0)
+    second = asyncio.create_task(journal.find(3))
+    await asyncio.sleep(0.255)
+    first.cancel()
+    assert await second == (False, None)
+
+
 async def test_a_store_that_refuses_gets_few_calls_of_the_journal():
     """All calls count in the limits of the store, refused ones, too."""
     store = MemoryStateStore(refuses_stream_rows=True)
--- a/packages/standins/src/teaselledge_standins/scripted.py
+++ b/packages/standins/src/teaselledge_standins/scripted.py
@@ -5,6 +5,7 @@
 import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import Self
 
 from teaselledge_standins.loopback import LoopbackServer
 
@@ -56,7 +57,7 @@
         self.connections = 0
         self.client_disconnected = asyncio.Event()
 
-    async def __aenter__(self) -> "ScriptedEndpoint":
+    async def __aenter__(self) -> Self:
         """Start listening."""
         await self.listen()
         return self
