Endpoints: an entry with the address of a router gets no requests

Cause: a row that names a router's address is well formed. A router sends a request there with the organisation in place of the key; the router there takes it for a caller's without a key. As that takes no time, the row attracts most requests.

Ruled out: that the router which gets such a request tells it by the headers that routers set. Callers may send the same headers, and would be turned away.

Change: RouterAddresses knows the listeners of this router and of its peers; endpoints there are not eligible, for any attempt. A new set makes selections anew, so that a request pays nothing for it.

--- a/packages/fleet/src/teaselledge_fleet/process/eligibility.py
+++ b/packages/fleet/src/teaselledge_fleet/process/eligibility.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
+from teaselledge_fleet.engines.routeraddresses import RouterAddresses
 from teaselledge_fleet.process.drains import DrainedZones
 from teaselledge_fleet.process.endpoints import Endpoint, EndpointView
 from teaselledge_fleet.process.signals import EndpointSignals
@@ -20,7 +21,8 @@
     """Endpoints selected from those of a service, and what they were selected by."""
 
     source: list[Endpoint]
-    drains_version: int
+    version: tuple[int, int]
+    """Versions of the drained zones and of the addresses of routers."""
     allowed: list[Endpoint]
     signals_version: int = -1
     accepting: list[Endpoint] = field(default_factory=list)
@@ -42,6 +44,11 @@
         Zones whose endpoints get no new requests.
     signals : EndpointSignals
         What endpoints said in their responses.
+
+    Attributes
+    ----------
+    router_addresses : RouterAddresses or None
+        Addresses that no endpoint can have; None if no other router is known.
     """
 
     def __init__(
@@ -56,6 +63,7 @@
         self._drained_zones = drained_zones
         self._signals = signals
         self._selections: dict[tuple[str, Residency], _Selection] = {}
+        self.router_addresses: RouterAddresses | None = None
 
     def of_service(self, service: str, residency: Residency) -> list[Endpoint]:
         """Return the endpoints of a service to which a request may be sent."""
@@ -87,12 +95,13 @@
 
     def _select(self, service: str, residency: Residency) -> _Selection:
         source = self._view.of_service(service)
-        version = self._drained_zones.version
+        routers = self.router_addresses
+        version = self._drained_zones.version, routers.version if routers else 0
         selection = self._selections.get((service, residency))
         if (
             selection is not None
             and selection.source is source
-            and selection.drains_version == version
+            and selection.version == version
         ):
             return selection
         allowed = [each for each in source if self._is_allowed(each, residency)]
@@ -103,6 +112,9 @@
         return selection
 
     def _is_allowed(self, endpoint: Endpoint, residency: Residency) -> bool:
+        routers = self.router_addresses
+        if routers is not None and routers.contains(endpoint.address):
+            return False
         return endpoint.zone not in self._drained_zones and residency.allows(
             self._zones.get(endpoint.zone)
         )
--- a/packages/fleet/src/teaselledge_fleet/process/placing.py
+++ b/packages/fleet/src/teaselledge_fleet/process/placing.py
@@ -5,6 +5,7 @@
 
 from expression import Error, Ok, Result
 
+from teaselledge_fleet.engines.routeraddresses import RouterAddresses
 from teaselledge_fleet.engines.settings import EngineSpeedSettings
 from teaselledge_fleet.engines.speeds import EngineSpeeds
 from teaselledge_fleet.faults import Fault, FaultKind
@@ -182,6 +183,10 @@
         """Set the function that tells an endpoint's coordinator of a restart."""
         self._admitter.report_restart = report_restart
 
+    def set_router_addresses(self, addresses: RouterAddresses) -> None:
+        """Set the addresses at which no endpoint can be."""
+        self._eligible.router_addresses = addresses
+
     def set_locator(self, locator: Locator) -> None:
         """Set the client of the fleet's prefix directory."""
         self._prefixes.locator = locator
--- a/packages/fleet/src/teaselledge_fleet/process/router.py
+++ b/packages/fleet/src/teaselledge_fleet/process/router.py
@@ -13,6 +13,7 @@
 from teaselledge_fleet.connection.pool import ConnectionPool
 from teaselledge_fleet.connection.relay import RelayResult
 from teaselledge_fleet.connection.sendbuffers import SendBufferLimits, SendBuffers
+from teaselledge_fleet.engines.routeraddresses import RouterAddresses
 from teaselledge_fleet.hedging.policy import HedgePolicy
 from teaselledge_fleet.log import get_log
 from teaselledge_fleet.migration.directory import OriginDirectory
@@ -201,6 +202,7 @@
             self._placer.set_queue(
                 settings.queueing, self._admission_rpc, self._metrics
             )
+        self._router_addresses = RouterAddresses(self._members, settings.listeners.all)
         self._connect_to_fleet(coordinators)
         self._origins = self._make_origins(store, coordinators)
         self._store_poller = StorePoller(
@@ -230,6 +232,7 @@
     def _connect_to_fleet(self, coordinators: Coordinators) -> None:
         """Let placing and serving ask other routers."""
         members, peer_socket, rpc = self._members, self._socket, self._admission_rpc
+        self._placer.set_router_addresses(self._router_addresses)
         self._placer.set_admission_check(rpc.request_admission, rpc.round_trips)
         self._placer.set_restart_report(rpc.report_restart)
         self._placer.set_locator(PrefixLocator(members, peer_socket, coordinators))
@@ -418,6 +421,7 @@
             self._placer.apply_routing(routing)
             self._warn_of_unknown_regions(routing)
         self._placer.retain_endpoints()
+        self._router_addresses.update()
         self._origins.update(self._store_cache.view.endpoints, routing)
         self._limit_endpoint_connections()
         if self._settings.queueing is not None:
@@ -485,6 +489,7 @@
         acceptor.is_entitled = is_entitled
 
     def _update_router_count(self) -> None:
+        self._router_addresses.update()
         self._budget.update_router_count(len(self._members.peers) + 1)
         self._limit_endpoint_connections()
 
--- a/packages/fleet/src/teaselledge_fleet/process/settings.py
+++ b/packages/fleet/src/teaselledge_fleet/process/settings.py
@@ -58,6 +58,18 @@
     metrics: str = ""
     relays: str = ""
 
+    @property
+    def all(self) -> tuple[str, ...]:
+        """All addresses, those that are not served as empty texts."""
+        return (
+            self.callers,
+            self.ready,
+            self.peers,
+            self.addresses,
+            self.metrics,
+            self.relays,
+        )
+
 
 @dataclass(frozen=True)
 class FleetSettings:
