Relays: the progress of a request is apart from its connections

When a relayed request has to be ended was decided within the class that holds both sockets. It is a class of its own now, in relaying/, which takes bytes and times and knows no socket; its two tests run without one.

--- a/packages/fleet/src/teaselledge_fleet/connection/relay.py
+++ b/packages/fleet/src/teaselledge_fleet/connection/relay.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import math
 import socket
 from collections import Counter
 from collections.abc import Callable
@@ -19,12 +18,8 @@
 from teaselledge_fleet.connection.silentpeers import detect_silent_peer
 from teaselledge_fleet.faults import ROUTER_FAULTS
 from teaselledge_fleet.relaying.handshake import ACCEPTANCE
-from teaselledge_fleet.relaying.timelimits import (
-    END_OF_HEAD,
-    NoTimeLimits,
-    TimeLimit,
-    TimeLimitSource,
-)
+from teaselledge_fleet.relaying.progress import RequestProgress
+from teaselledge_fleet.relaying.timelimits import NoTimeLimits, TimeLimitSource
 
 __all__ = ["RelayEvents", "RelayPool", "RelayResult"]
 
@@ -40,17 +35,6 @@
 ACCEPT_STEPS = 5
 """Waits into which this time is divided, each of which takes at least one iteration."""
 
-LATE_SECONDS = 0.1
-"""Time after a request's limit at which the other router's answer counts as missing. It
-keeps the same limit, and its answer takes a moment to arrive."""
-
-HEAD_CHECK_SECONDS = 0.1
-"""Interval at which a late request is looked at again whose head is not complete, or
-whose response is still being sent."""
-
-MAX_HEAD_BYTES = 1 << 15
-"""Bytes kept of a request until its time limit is known; heads have up to 16 KB."""
-
 MAX_RELAYS = 1000
 """Maximum number of concurrent relays, each with two file descriptors and up to two
 buffers."""
@@ -249,12 +233,7 @@
         self._pool = pool
         self._events = events
         self._loop = asyncio.get_running_loop()
-        self._head: bytes | None = b""
-        """What has arrived of the request, None once its time limit is known."""
-        self._head_at: float | None = None
-        self._limit: TimeLimit | None = None
-        self._responded_at: float | None = None
-        """Loop time at which the response last made progress."""
+        self._progress = RequestProgress(pool.time_limits)
         self._timer: asyncio.TimerHandle | None = None
         self._idle_seconds = 0.0
         self.closed = False
@@ -286,7 +265,8 @@
     def _check(self) -> None:
         """End the relay if it is idle or its request is late, else check later."""
         now = self._loop.time()
-        idle_at, late_at = self._last_active_at + self._idle_seconds, self._late_at(now)
+        idle_at = self._last_active_at + self._idle_seconds
+        late_at = self._progress.late_at(now, self.caller.has_unsent)
         if now >= idle_at:
             self.abort()
             return
@@ -295,32 +275,6 @@
             return
         self._timer = self._loop.call_later(min(idle_at, late_at) - now, self._check)
 
-    def _late_at(self, now: float) -> float:
-        """Return when the request may have to be ended; infinite without a limit.
-
-        Its head is read only if the shortest limit of all routes has passed.
-        """
-        shortest = self._pool.time_limits.shortest
-        if shortest is None:
-            return math.inf
-        if self._head_at is None:
-            return now + shortest
-        if now < self._head_at + shortest:
-            return self._head_at + shortest
-        if self._head is not None:
-            if END_OF_HEAD not in self._head:
-                return now + HEAD_CHECK_SECONDS
-            self._limit = self._pool.time_limits.find(self._head)
-            self._head = None
-        if self._limit is None:
-            return math.inf
-        late_at = self._head_at + self._limit.seconds + LATE_SECONDS
-        if self._responded_at is None:
-            return late_at
-        if self.caller.has_unsent:
-            return max(late_at, now + HEAD_CHECK_SECONDS)
-        return max(late_at, self._responded_at + LATE_SECONDS)
-
     def _end_late(self) -> None:
         """End a request whose router gives no answer, or no end of one, in time.
 
@@ -328,29 +282,28 @@
         """
         self._pool.timed_out += 1
         self._events.on_silent()
-        if self._responded_at is None and self._limit is not None:
-            self.caller.write(self._limit.response)
-            self.router.abort()
+        response = self._progress.late_response
+        if response is None:
+            self.abort()
             return
-        self.abort()
+        self.caller.write(response)
+        self.router.abort()
 
     def forward(self, side: "_Side", data: bytes) -> None:
         """Forward bytes that were received from a side."""
         self._last_active_at = self._loop.time()
         if side is self.router:
-            if self._responded_at is None:
+            if not self._progress.responded:
                 self._on_response(RelayResult.of_response(data))
-            self._responded_at = self._last_active_at
-        elif self._head is not None and len(self._head) < MAX_HEAD_BYTES:
-            self._head += data[:MAX_HEAD_BYTES]
-            if self._head_at is None:
-                self._head_at = self._last_active_at
+            self._progress.record_response(self._last_active_at)
+        else:
+            self._progress.record_request(data, self._last_active_at)
         self.opposite(side).write(data)
 
     def on_drained(self, side: "_Side") -> None:
         """Give the router time to send more to a caller that has read everything."""
-        if side is self.caller and self._responded_at is not None:
-            self._responded_at = self._loop.time()
+        if side is self.caller:
+            self._progress.record_drained(self._loop.time())
 
     def _on_response(self, result: RelayResult) -> None:
         self._pool.results[result] += 1
@@ -365,7 +318,7 @@
         otherwise the caller's connection is aborted, so that an incomplete response
         does not look complete.
         """
-        if side is self.caller and not self.closed and self._responded_at is None:
+        if side is self.caller and not self.closed and not self._progress.responded:
             self._pool.record_abandoned()
         self.closed = True
         self._pool.discard(self)
--- a/packages/fleet/tests/test_relaying.py
+++ b/packages/fleet/tests/test_relaying.py
@@ -7,7 +7,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
-from teaselledge_fleet.connection.relay import RelayEvents, RelayPool, _Relay
+from teaselledge_fleet.connection.relay import RelayEvents, RelayPool
 from teaselledge_fleet.process.members import Member, Members, MemberState
 from teaselledge_fleet.relaying.handshake import (
     ACCEPTANCE,
@@ -17,6 +17,7 @@
     read_offer,
     receive_offer,
 )
+from teaselledge_fleet.relaying.progress import MAX_HEAD_BYTES, RequestProgress
 from teaselledge_fleet.relaying.silence import SilentRouters
 from teaselledge_fleet.relaying.timelimits import RouteTimeLimits, TimeLimit
 from teaselledge_fleet.request.defaultcodec import DefaultHeaderCodec
@@ -131,15 +132,26 @@
     assert len(await receiving) == size
 
 
-async def test_relay_is_not_cut_off_as_its_caller_reads_on(limited_relay):
+def test_relay_is_not_cut_off_as_its_caller_reads_on():
     """The other router was held up until then, and had no time to send more."""
-    relay = _Relay(limited_relay.pool, RelayEvents())
-    relay.forward(relay.caller, REQUEST)
-    relay.forward(relay.router, EVENT)
-    await asyncio.sleep(3 * LIMIT_SECONDS)
-    now = asyncio.get_running_loop().time()
-    relay.caller.resume_writing()
-    assert relay._late_at(now) > now
+    progress = RequestProgress(FixedLimit(LIMIT))
+    progress.record_request(REQUEST, 0.0)
+    progress.record_response(0.0)
+    late = 3 * LIMIT_SECONDS
+    assert progress.late_at(late, caller_reads_slowly=True) > late
+    assert progress.late_at(late, caller_reads_slowly=False) <= late
+    progress.record_drained(late)
+    assert progress.late_at(late, caller_reads_slowly=False) > late
+
+
+def test_long_request_is_kept_no_longer_than_its_head_can_be():
+    """A caller may send a body of megabytes while the other router stands still."""
+    progress = RequestProgress(FixedLimit(LIMIT))
+    for _ in range(100):
+        progress.record_request(b"x" * MAX_HEAD_BYTES, 0.0)
+    assert len(progress._head) == MAX_HEAD_BYTES
+    now = 2 * LIMIT_SECONDS
+    assert progress.late_at(now, caller_reads_slowly=False) > now
 
 
 async def test_caller_that_sends_nothing_has_no_limit(limited_relay):
