--- a/tools/capacity_page.py
+++ b/tools/capacity_page.py
@@ -146,6 +146,9 @@
 | connections relayed by the router of a flood that comes to it alone, 0.516 cores, \
 floods from 5 s (seed 7001, trials) | each second | 0 for two seconds, then 128 to 443 \
 on 66e4f3f; 831 to 1,563 until 11 s with the code of 6c373ea |
+| processor time of a relayed request beyond that of one that is not, both routers \
+together, one process on loopback | as before | 0.86 to 0.95 ms on 710b04b, 0.97 to \
+1.12 ms since connections are accepted by the other router (6b7985a) |
 | system calls of a router, by strace: a relayed stream of 25 events; a refused \
 connection | few | 126 and 10 on 66e4f3f; 86 and 6 since c37d51b |
 | least ratio of two floods in windows of 6 s, five draws | 0.5 | 0.44 to 0.58 on \
